--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; they run outside CI."""
--- /dev/null
+++ b/peridottrack/__main__.py
@@ -0,0 +1,6 @@
+"""Lets the program run as ``python -m peridottrack``."""
+
+from peridottrack.cmdline import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/peridottrack/admin.py
@@ -0,0 +1,130 @@
+"""The admin address (metrics, dump, other nodes) and the local announce address."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from ipaddress import ip_address
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from pydantic import ValidationError
+
+from peridottrack.controllers.announce import AnnounceController, Announcement
+from peridottrack.controllers.document import DocumentController
+from peridottrack.controllers.members import MembersController
+from peridottrack.metrics import Metrics
+from peridottrack.revisions import Head
+from peridottrack.types import InstanceId, NodeId, SectionName
+
+PEER_TIMEOUT_S = 1.0
+Dump = Callable[[], dict[str, Any]]
+
+
+def admin_app(
+    metrics: Metrics, document: DocumentController, dump_by_topic: Mapping[str, Dump]
+) -> web.Application:
+    """Build the application of the admin address.
+
+    Parameters
+    ----------
+    dump_by_topic
+        Parts of the state dump, by controller.
+    """
+
+    async def get_metrics(request: web.Request) -> web.Response:
+        return web.Response(body=metrics.text(), content_type="text/plain")
+
+    async def get_dump(request: web.Request) -> web.Response:
+        wanted = request.query.get("topic")
+        parts = {topic: dump() for topic, dump in dump_by_topic.items() if wanted in (None, topic)}
+        return web.json_response(parts, dumps=_pretty)
+
+    async def get_version(request: web.Request) -> web.Response:
+        return web.json_response(
+            {"version": document.version, "confirmed_age_s": document.confirmed_age_s()}
+        )
+
+    async def post_document(request: web.Request) -> web.Response:
+        have = {SectionName(name): version for name, version in (await request.json()).items()}
+        return web.Response(body=document.answer_peer(have), content_type="application/json")
+
+    app = web.Application()
+    app.router.add_get("/metrics", get_metrics)
+    app.router.add_get("/dump", get_dump)
+    app.router.add_get("/version", get_version)
+    app.router.add_post("/document", post_document)
+    return app
+
+
+def announce_app(announce: AnnounceController, host: str) -> web.Application:
+    """Build the application of the announce address.
+
+    Parameters
+    ----------
+    host
+        This host's IP number; announcements from other hosts are refused.
+    """
+
+    @web.middleware
+    async def only_local(request: web.Request, handler: Any) -> web.StreamResponse:
+        peer = request.remote or ""
+        if peer != host and not (peer and ip_address(peer).is_loopback):
+            raise web.HTTPForbidden(text="only upstreams of this host may announce\n")
+        return await handler(request)
+
+    async def put_instance(request: web.Request) -> web.Response:
+        try:
+            said = Announcement.model_validate_json(await request.read())
+        except ValidationError as error:
+            raise web.HTTPBadRequest(text=f"{error}\n") from None
+        announce.announce(_instance_id(request), said)
+        return web.Response(status=204)
+
+    async def post_drain(request: web.Request) -> web.Response:
+        return _known(announce.drain(_instance_id(request)))
+
+    async def delete_instance(request: web.Request) -> web.Response:
+        return _known(announce.withdraw(_instance_id(request)))
+
+    app = web.Application(middlewares=[only_local])
+    app.router.add_put("/instances/{id:[A-Za-z0-9_.-]{1,64}}", put_instance)
+    app.router.add_post("/instances/{id:[A-Za-z0-9_.-]{1,64}}/drain", post_drain)
+    app.router.add_delete("/instances/{id:[A-Za-z0-9_.-]{1,64}}", delete_instance)
+    return app
+
+
+class HttpPeers:
+    """Asks other nodes for their document over their admin address."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_S)
+        self.members: MembersController | None = None
+
+    async def fetch(self, node: NodeId, have: Head) -> bytes | None:
+        """Return the peer's answer, None if it gave none."""
+        endpoint = self.members.admin_of(node) if self.members else None
+        if endpoint is None:
+            return None
+        url = f"http://{endpoint}/document"
+        try:
+            async with self._session.post(
+                url, json=have.version_by_section, timeout=self._timeout
+            ) as answer:
+                return await answer.read() if answer.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+
+def _instance_id(request: web.Request) -> InstanceId:
+    return InstanceId(request.match_info["id"])
+
+
+def _known(found: bool) -> web.Response:
+    return web.Response(status=204 if found else 404)
+
+
+def _pretty(data: Any) -> str:
+    return json.dumps(data, indent=2, default=str)
--- /dev/null
+++ b/peridottrack/bucket.py
@@ -0,0 +1,82 @@
+"""Token buckets, which hold a rate by construction."""
+
+from __future__ import annotations
+
+from peridottrack.types import Clock
+
+
+class TokenBucket:
+    """Lets through at most ``burst + rate_per_s * t`` tokens in any time ``t``.
+
+    Parameters
+    ----------
+    rate_per_s
+        Tokens that come back each second.
+    burst
+        Tokens that it holds at most; it starts full.
+    """
+
+    def __init__(self, clock: Clock, rate_per_s: float, burst: float) -> None:
+        self._clock = clock
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = burst
+        self._filled_at: float | None = None
+
+    def take(self, tokens: float) -> bool:
+        """Take tokens if there are enough; never less than all."""
+        self._fill()
+        if tokens > self._tokens:
+            return False
+        self._tokens -= tokens
+        return True
+
+    def available(self) -> float:
+        """Return the tokens held now."""
+        self._fill()
+        return self._tokens
+
+    def _fill(self) -> None:
+        now = self._clock.now()
+        # A clock that is set back gives no tokens, and none are taken away.
+        elapsed_s = max(0.0, now - self._filled_at) if self._filled_at is not None else 0.0
+        self._filled_at = now
+        self._tokens = min(self.burst, self._tokens + elapsed_s * self.rate_per_s)
+
+
+class MeasuringBudget:
+    """The agreed cost of measuring load, in messages and in bytes.
+
+    Parameters
+    ----------
+    messages_per_s
+        Datagrams a second.
+    bytes_per_s
+        Bytes a second, IP and UDP headers included.
+    """
+
+    BURST_S = 0.5
+    HEADER_BYTES = 28
+
+    def __init__(self, clock: Clock, messages_per_s: float, bytes_per_s: float) -> None:
+        self._messages = TokenBucket(clock, messages_per_s, messages_per_s * self.BURST_S)
+        self._bytes = TokenBucket(clock, bytes_per_s, bytes_per_s * self.BURST_S)
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.withheld_messages = 0
+
+    @property
+    def bytes_per_s(self) -> float:
+        """The limit in bytes a second."""
+        return self._bytes.rate_per_s
+
+    def spend(self, payload_bytes: int) -> bool:
+        """Ask to send a datagram; False means that it must not be sent."""
+        size = payload_bytes + self.HEADER_BYTES
+        if self._messages.available() < 1 or not self._bytes.take(size):
+            self.withheld_messages += 1
+            return False
+        self._messages.take(1)
+        self.sent_messages += 1
+        self.sent_bytes += size
+        return True
--- /dev/null
+++ b/peridottrack/call.py
@@ -0,0 +1,133 @@
+"""One request on its way through the filter chain, and its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from peridottrack.balancer import Attempt
+from peridottrack.document import RoutePart
+from peridottrack.errors import Ran
+from peridottrack.types import InstanceId, RequestId, ServiceName
+
+DEADLINE_HEADER = "Peridot-Deadline-Ms"
+ATTEMPT_HEADER = "Peridot-Attempt"
+REQUEST_ID_HEADER = "Peridot-Request-Id"
+REPLAYED_HEADER = "Peridot-Replayed"
+KEY_HEADER = "Idempotency-Key"
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer for the caller, whole or as a stream.
+
+    Parameters
+    ----------
+    body
+        The whole body, or None if ``stream`` brings it.
+    length
+        Announced length of a streamed body, None for chunked.
+    close
+        Called once the answer was sent or given up; tells whether it was sent whole.
+    """
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes | None = None
+    stream: AsyncIterator[bytes] | None = None
+    length: int | None = None
+    close: Callable[[bool], None] | None = None
+    ran: Ran = Ran.YES
+
+
+@dataclass(slots=True)
+class Progress:
+    """What became of a request so far, over all its attempts.
+
+    Parameters
+    ----------
+    tried
+        Instances that were chosen.
+    dispatched
+        Instances that a byte of the request may have reached, in order.
+    unsure
+        Whether an attempt ended without telling if it ran.
+    """
+
+    tried: set[InstanceId] = field(default_factory=set)
+    dispatched: list[InstanceId] = field(default_factory=list)
+    unsure: bool = False
+
+
+@dataclass(slots=True)
+class Call:
+    """One request.
+
+    Parameters
+    ----------
+    started_at, deadline
+        Seconds of the node's monotonic clock.
+    body
+        The whole body, or None if it is streamed and cannot be sent twice.
+    caller
+        The caller's credential, hashed, or its address; for fairness.
+    fingerprint
+        Digest of method, path and body.
+    reason
+        Why this attempt is made: first, retry or hedge.
+    """
+
+    request: web.BaseRequest
+    request_id: RequestId
+    started_at: float
+    deadline: float = float("inf")
+    route: RoutePart | None = None
+    idempotent: bool = False
+    body: bytes | None = b""
+    caller: str = ""
+    credential: str = ""
+    fingerprint: str = ""
+    attempt: int = 1
+    reason: str = "first"
+    progress: Progress = field(default_factory=Progress)
+    chosen: Attempt | None = None
+
+    @property
+    def service(self) -> ServiceName:
+        """The service of the route; only after routing."""
+        assert self.route is not None
+        return ServiceName(self.route.service)
+
+    @property
+    def replayable(self) -> bool:
+        """Whether the request may be sent to an instance more than once."""
+        return self.idempotent and self.body is not None
+
+
+Proceed = Callable[[Call], Awaitable[Answer]]
+Filter = Callable[[Call, Proceed], Awaitable[Answer]]
+
+
+def build_chain(filters: list[Filter], last: Proceed) -> Proceed:
+    """Compose filters so that each one wraps those after it."""
+    proceed = last
+    for item in reversed(filters):
+        proceed = _bind(item, proceed)
+    return proceed
+
+
+def _bind(item: Filter, proceed: Proceed) -> Proceed:
+    def bound(call: Call) -> Awaitable[Answer]:
+        return item(call, proceed)
+
+    return bound
+
+
+async def cancel_and_wait(task: asyncio.Task[Answer]) -> None:
+    """Cancel a task and wait until it has cleaned up."""
+    task.cancel()
+    await asyncio.wait([task])
--- /dev/null
+++ b/peridottrack/cmdline.py
@@ -0,0 +1,401 @@
+"""The command line, a thin layer over the importable parts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, NoReturn
+
+import aiohttp
+import click
+
+from peridottrack import __version__, log
+from peridottrack.claims import TrailLine, record_for_trace, trail
+from peridottrack.config import Settings, load_settings, parse_endpoint
+from peridottrack.document import parse_document
+from peridottrack.exceptions import (
+    AcceptConflict,
+    AcceptUnknown,
+    DocumentFaulty,
+    Faulty,
+    NotOwner,
+    PeridottrackError,
+    PromiseBroken,
+    StoreUnavailable,
+)
+from peridottrack.platform_http import HttpTable
+from peridottrack.revisions import Edit, accept, read_head, read_history, read_revision
+from peridottrack.status import gather_status
+from peridottrack.types import SectionName, TableStore
+
+EXIT_CODE_BY_ERROR: dict[type[PeridottrackError], int] = {
+    Faulty: 3,
+    NotOwner: 4,
+    AcceptConflict: 5,
+    AcceptUnknown: 6,
+    StoreUnavailable: 7,
+    PromiseBroken: 8,
+}
+EXIT_INTERNAL = 9
+ADMIN_TIMEOUT_S = 5.0
+EPILOG = (
+    "Exit codes: 0 done, 2 wrong usage, 3 faulty settings or document, 4 not the section's owner,"
+    " 5 changed by someone else, 6 not known whether accepted, 7 store not available,"
+    " 8 a promise was broken, 9 other errors."
+)
+
+platform_option = click.option(
+    "--platform",
+    "platform_url",
+    envvar="PERIDOTTRACK_PLATFORM",
+    required=True,
+    help="URL of the platform's table service (or PERIDOTTRACK_PLATFORM).",
+)
+
+
+@click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="peridottrack")
+def cli() -> None:
+    """A load balancer for servers whose load shifts in milliseconds.
+
+    One node runs beside each upstream. Operators change their sections of the document and
+    accept them; the rest is the system's work.
+    """
+
+
+@cli.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Settings file, JSON with comments.",
+)
+def node(path: Path) -> None:
+    """Run the node beside an upstream, until SIGTERM."""
+    settings = load_settings(path)
+    log.start_logging(settings.log_level, settings.debug)
+    left_well = asyncio.run(_run_node(settings))
+    sys.exit(0 if left_well else 1)
+
+
+@cli.command()
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def check(path: Path) -> None:
+    """Check a settings file or a whole document, and list all faults.
+
+    A file with the key callers_address is taken for settings.
+    """
+    text = path.read_text(encoding="utf-8")
+    if "callers_address" in text:
+        load_settings(path)
+        click.echo(f"{path}: settings are valid")
+        return
+    document = parse_document(text, str(path))
+    sections, routes = len(document.section_by_name), len(document.routes)
+    click.echo(f"{path}: document is valid: {sections} sections, {routes} routes")
+
+
+@cli.group()
+def document() -> None:
+    """Read the operators' document, change a section, accept it."""
+
+
+@document.command("show")
+@click.argument("section", required=False)
+@click.option("--version", "version", type=int, help="An older version of the section.")
+@click.option("--history", is_flag=True, help="List all accepted versions of the section.")
+@platform_option
+def document_show(
+    section: str | None, version: int | None, history: bool, platform_url: str
+) -> None:
+    """Show the sections in force, or the text of one."""
+    name = SectionName(section) if section else None
+    _with_table(platform_url, lambda table: _show(table, name, version, history))
+
+
+@document.command("edit")
+@click.argument("section")
+@platform_option
+def document_edit(section: str, platform_url: str) -> None:
+    """Print a section's text and version, to be changed in a file.
+
+    The first line is a comment with the version; `document accept` reads it from there.
+    """
+    _with_table(platform_url, lambda table: _edit(table, SectionName(section)))
+
+
+@document.command("accept")
+@click.argument("section")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--operator", envvar="PERIDOTTRACK_OPERATOR", required=True, help="Your team.")
+@click.option("--base", type=int, help="Version you started from, if the file does not say.")
+@platform_option
+def document_accept(
+    section: str, path: Path, operator: str, base: int | None, platform_url: str
+) -> None:
+    """Bring a section's text into force."""
+    text = path.read_text(encoding="utf-8")
+    if base is None:
+        base = _base_of(text)
+    edit = Edit(SectionName(section), base, text, operator, time.time())
+    _with_table(platform_url, lambda table: _accept(table, edit))
+
+
+@document.command("status")
+@platform_option
+def document_status(platform_url: str) -> None:
+    """Tell in how many nodes the document is in force."""
+    _with_table(platform_url, _status)
+
+
+@cli.command()
+@click.argument("address")
+@click.option("--topic", help="Only one controller's state.")
+def dump(address: str, topic: str | None) -> None:
+    """Print the state of the node with this admin address."""
+    endpoint = parse_endpoint(address)
+    query = f"?topic={topic}" if topic else ""
+    click.echo(asyncio.run(_get_text(f"http://{endpoint}/dump{query}")))
+
+
+@cli.command()
+@click.argument("key")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+@platform_option
+def trace(key: str, as_json: bool, platform_url: str) -> None:
+    """Show what became of the calls with an Idempotency-Key."""
+    _with_table(platform_url, lambda table: _trace(table, key, as_json))
+
+
+@cli.group()
+def standin() -> None:
+    """Run stand-ins of the outside systems, for trials."""
+
+
+@standin.command("platform")
+@click.option("--listen", default="127.0.0.1:8400", show_default=True, help="IP:PORT.")
+def standin_platform(listen: str) -> None:
+    """Run the platform's table service and object store, in memory."""
+    asyncio.run(_run_platform(listen))
+
+
+@standin.command("upstream")
+@click.option("--listen", default="127.0.0.1:0", show_default=True, help="IP:PORT.")
+@click.option("--announce", required=True, help="Announce address of the node beside.")
+@click.option("--service", required=True)
+@click.option("--slots", default=18, show_default=True)
+@click.option("--connections", default=240, show_default=True)
+@click.option("--service-ms", default=10.0, show_default=True, help="Mean work for a request.")
+def standin_upstream(
+    listen: str, announce: str, service: str, slots: int, connections: int, service_ms: float
+) -> None:
+    """Run an upstream that announces itself; SIGTERM drains it."""
+    asyncio.run(_run_upstream(listen, announce, service, slots, connections, service_ms))
+
+
+@cli.command()
+@click.option(
+    "--deployment",
+    type=click.Choice(["buzulip", "karoo"]),
+    default="buzulip",
+    show_default=True,
+)
+@click.option("--seconds", default=12.0, show_default=True, help="How long calls are sent.")
+def demo(deployment: str, seconds: float) -> None:
+    """Run a whole deployment in this process, break things, and check the promises."""
+    from peridottrack.demo import run_demo
+
+    log.start_logging("ERROR")
+    broken = asyncio.run(run_demo(deployment, seconds, click.echo))
+    if broken:
+        raise PromiseBroken("; ".join(broken))
+
+
+def main() -> NoReturn:
+    """Run the program; errors end in one clear line and a code."""
+    try:
+        cli.main(standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        sys.exit(130)
+    except PeridottrackError as error:
+        click.echo(f"error [{error.code}]: {error}", err=True)
+        if isinstance(error, AcceptConflict):
+            click.echo(error.difference, err=True)
+        sys.exit(_exit_code(error))
+    except (OSError, ValueError) as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(EXIT_INTERNAL)
+    sys.exit(0)
+
+
+def _exit_code(error: PeridottrackError) -> int:
+    for kind, code in EXIT_CODE_BY_ERROR.items():
+        if isinstance(error, kind):
+            return code
+    return EXIT_INTERNAL
+
+
+def _with_table(url: str, work: Callable[[TableStore], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            await work(HttpTable(session, url, "peridottrack", ADMIN_TIMEOUT_S))
+
+    asyncio.run(run())
+
+
+async def _show(
+    table: TableStore, section: SectionName | None, version: int | None, history: bool
+) -> None:
+    head = await read_head(table)
+    if section is None:
+        click.echo(f"document version {head.version}")
+        for name, number in sorted(head.version_by_section.items()):
+            click.echo(f"  {name}: version {number}")
+        return
+    if history:
+        for revision in await read_history(table, section):
+            when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(revision.wall_s))
+            click.echo(f"version {revision.version}  {when} UTC  {revision.operator}")
+        return
+    wanted = version or head.version_by_section.get(section, 0)
+    revision_or_none = await read_revision(table, section, wanted) if wanted else None
+    if revision_or_none is None:
+        raise DocumentFaulty([f"{section}: there is no such section or version"])
+    click.echo(revision_or_none.text, nl=False)
+
+
+async def _edit(table: TableStore, section: SectionName) -> None:
+    head = await read_head(table)
+    version = head.version_by_section.get(section, 0)
+    revision = await read_revision(table, section, version) if version else None
+    text = _without_base_line(revision.text) if revision else "{\n}\n"
+    click.echo(f"// base: {version}")
+    click.echo(text, nl=False)
+
+
+def _without_base_line(text: str) -> str:
+    first, _, rest = text.partition("\n")
+    return rest if first.startswith("// base: ") else text
+
+
+def _base_of(text: str) -> int:
+    first = text.partition("\n")[0]
+    number = first.removeprefix("// base: ")
+    if first == number or not number.isdigit():
+        raise click.UsageError("the file does not begin with `// base: N`; give --base N")
+    return int(number)
+
+
+async def _accept(table: TableStore, edit: Edit) -> None:
+    revision = await accept(table, edit)
+    click.echo(
+        f"accepted: section {revision.section} version {revision.version},"
+        f" document version {revision.document_version}"
+    )
+
+
+async def _status(table: TableStore) -> None:
+    status = await gather_status(table)
+    click.echo(f"document version {status.version}")
+    click.echo(f"in force: {len(status.in_force)} nodes")
+    for name, nodes in (("behind", status.behind), ("unknown", status.unknown)):
+        click.echo(f"{name}: {len(nodes)} nodes {' '.join(nodes)}".rstrip())
+
+
+async def _trace(table: TableStore, key: str, as_json: bool) -> None:
+    found = False
+    async for line in trail(table, key):
+        found = True
+        click.echo(_trace_json(line) if as_json else _trace_text(line))
+    if not found:
+        click.echo("no claim with this key")
+
+
+def _trace_json(line: TrailLine) -> str:
+    if line.record is not None:
+        return json.dumps(record_for_trace(line.record))
+    return json.dumps({"wall_s": line.wall_s, "note": line.note})
+
+
+def _trace_text(line: TrailLine) -> str:
+    when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(line.wall_s))
+    if line.record is None:
+        return f"{when} UTC    {line.note}"
+    record = line.record
+    rows = [
+        f"{when} UTC  claimed by {record.node} for credential {record.credential}",
+        f"    request    {record.request_id}",
+        f"    dispatched {', '.join(record.instances) or 'to nobody'}",
+        f"    state      {record.state.value}",
+    ]
+    if record.answer:
+        rows.append(f"    answered   status {record.answer.status}")
+    return "\n".join(rows)
+
+
+async def _get_text(url: str) -> str:
+    timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session, session.get(url) as answer:
+            return await answer.text()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise OSError(f"no answer from {url}: {error}") from None
+
+
+async def _run_node(settings: Settings) -> bool:
+    from peridottrack.node import Node
+
+    running = Node(settings)
+    stop = _stop_event()
+    await running.start()
+    await stop.wait()
+    return await running.leave()
+
+
+async def _run_platform(listen: str) -> None:
+    from peridottrack.standin.platform import serve_platform
+
+    endpoint = parse_endpoint(listen)
+    _, runner, port = await serve_platform(endpoint.host, endpoint.port)
+    click.echo(f"platform stand-in on http://{endpoint.host}:{port}")
+    await _stop_event().wait()
+    await runner.cleanup()
+
+
+async def _run_upstream(
+    listen: str, announce: str, service: str, slots: int, connections: int, service_ms: float
+) -> None:
+    from peridottrack.standin.upstream import Behaviour, UpstreamStandin
+    from peridottrack.types import InstanceId, ServiceName
+
+    endpoint = parse_endpoint(listen)
+    upstream = UpstreamStandin(
+        InstanceId(f"{service}-{os.getpid()}"),
+        ServiceName(service),
+        slots,
+        connections,
+        Behaviour(service_s=service_ms / 1000),
+    )
+    await upstream.start(endpoint.host, endpoint.port, parse_endpoint(announce))
+    click.echo(f"upstream {upstream.instance_id} on http://{upstream.endpoint}")
+    await _stop_event().wait()
+    await upstream.drain()
+    await upstream.stop()
+
+
+def _stop_event() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
--- /dev/null
+++ b/peridottrack/config.py
@@ -0,0 +1,149 @@
+"""Settings of a node, filled from JSON with comments."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from peridottrack import jsonc
+from peridottrack.exceptions import Faulty, SettingsFaulty
+from peridottrack.types import Endpoint
+
+MIN_KEY_CHARS = 16
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Split ``IP:PORT``.
+
+    Raises
+    ------
+    ValueError
+        For a host name, a missing or an impossible port.
+    """
+    host, separator, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ValueError("must be IP:PORT with an IP number") from None
+    if not separator or not 0 <= number <= 65_535:
+        raise ValueError("must be IP:PORT with a port from 0 to 65535")
+    return Endpoint(host.strip("[]"), number)
+
+
+def _endpoint_text(text: str) -> str:
+    parse_endpoint(text)
+    return text
+
+
+def _http_url(text: str) -> str:
+    scheme, separator, rest = text.partition("://")
+    if not separator or scheme not in ("http", "https") or not rest.strip("/"):
+        raise ValueError("must be a URL with http:// or https://")
+    return text.rstrip("/")
+
+
+def _message_key(text: str) -> str:
+    if len(text) < MIN_KEY_CHARS:
+        raise ValueError(f"must have at least {MIN_KEY_CHARS} characters")
+    return text
+
+
+EndpointText = Annotated[str, AfterValidator(_endpoint_text)]
+UrlText = Annotated[str, AfterValidator(_http_url)]
+KeyText = Annotated[str, AfterValidator(_message_key)]
+
+
+class Settings(BaseModel):
+    """Settings of one node: each field is an option with its bounds, default and meaning."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    callers_address: EndpointText = Field(description="Where callers connect (HTTP).")
+    admin_address: EndpointText = Field(description="Metrics, dump and other nodes (HTTP).")
+    announce_address: EndpointText = Field(description="Local upstreams announce here (HTTP).")
+    gossip_address: EndpointText = Field(description="Datagrams between nodes (UDP).")
+    failure_domain: str = Field(description="Failure domain of this host.")
+    region: str = Field(description="Region of this host.")
+    table_url: UrlText = Field(description="The platform's table service.")
+    object_url: UrlText = Field(description="The platform's object store.")
+    table_name: str = Field("peridottrack", description="Table that holds all rows.")
+    bucket_name: str = Field("peridottrack", description="Bucket of the object store.")
+    message_keys: list[KeyText] = Field(
+        min_length=1,
+        max_length=3,
+        description="Keys of the datagrams; the first signs, all are accepted.",
+    )
+    seeds: list[EndpointText] = Field(
+        [],
+        max_length=32,
+        description="Gossip addresses to join through when the table is down.",
+    )
+    store_timeout_s: float = Field(
+        1.0, ge=0.05, le=30, description="Seconds that one call to the store may take."
+    )
+    document_poll_s: float = Field(
+        4.0, ge=0.2, le=60, description="Seconds between two looks at the document."
+    )
+    measuring_messages_per_s: float = Field(
+        20.0, ge=0, le=1_000, description="Datagrams a second for measuring load."
+    )
+    measuring_bytes_per_s: float = Field(
+        3_000.0,
+        ge=0,
+        le=1_000_000,
+        description="Bytes a second for measuring load, headers included.",
+    )
+    queue_length: int = Field(
+        256, ge=0, le=100_000, description="Requests that may wait for one service."
+    )
+    drain_s: float = Field(
+        25.0, ge=1, le=600, description="Seconds that a graceful shutdown may take."
+    )
+    announce_lease_s: float = Field(
+        5.0, ge=0.5, le=60, description="Seconds after which a silent upstream is gone."
+    )
+    claims: Literal["rows", "journal"] = Field(
+        "rows", description="Where claims are kept: a row each, or journals by shard."
+    )
+    claim_shards: int = Field(16, ge=1, le=4_096, description="Shards of the claim journal.")
+    claim_flush_s: float = Field(
+        0.05, ge=0.001, le=5, description="Seconds between two appends to a claim journal."
+    )
+    log_level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = Field(
+        "INFO", description="Lowest level that is logged."
+    )
+    debug: list[Literal["route", "choice", "claim", "member", "document"]] = Field(
+        [], description="Topics to log in detail."
+    )
+
+
+def read_settings(text: str, origin: str) -> Settings:
+    """Parse and check a settings file.
+
+    Raises
+    ------
+    SettingsFaulty
+        With all faults, one line each.
+    """
+    try:
+        return jsonc.check(Settings, jsonc.parse(text, origin), origin)
+    except Faulty as fault:
+        raise SettingsFaulty(fault.faults) from None
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file from disk."""
+    return read_settings(path.read_text(encoding="utf-8"), str(path))
+
+
+def settings_reference() -> str:
+    """Return the settings reference, a Markdown table made from the fields."""
+    lines = ["| setting | default | meaning |", "|---|---|---|"]
+    for name, field in Settings.model_fields.items():
+        default = "required" if field.is_required() else f"`{field.default!r}`"
+        lines.append(f"| `{name}` | {default} | {field.description} |")
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/peridottrack/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: each holds one kind of state of a node."""
--- /dev/null
+++ b/peridottrack/controllers/load.py
@@ -0,0 +1,265 @@
+"""Holds the balancer and the queue of each service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from peridottrack.balancer import Attempt, AttemptResult, Balancer
+from peridottrack.call import Call
+from peridottrack.document import Document, ServicePart
+from peridottrack.errors import ErrorKind
+from peridottrack.exceptions import RequestError
+from peridottrack.limiter import DeadlineQueue, Waiting
+from peridottrack.metrics import Metrics
+from peridottrack.retry import RetryBudget
+from peridottrack.signals import SlowNews
+from peridottrack.subset import choose_subset
+from peridottrack.types import (
+    Clock,
+    Instance,
+    InstanceId,
+    InstanceState,
+    NodeId,
+    Random,
+    ServiceName,
+)
+
+WAKE_INTERVAL_S = 0.02
+ASSUMED_CALLERS_MAX = 16
+DOMAIN_COST_S = 0.003
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A call that waits for room on an instance."""
+
+    granted: asyncio.Future[Attempt]
+    exclude: set[InstanceId]
+
+
+class Service:
+    """One service's balancer and queue."""
+
+    def __init__(self, balancer: Balancer, queue: DeadlineQueue) -> None:
+        self.balancer = balancer
+        self.queue = queue
+
+    def wake(self) -> None:
+        """Hand free room to those who wait, best first."""
+        while self.queue:
+            entry = self.queue.pop()
+            if entry is None:
+                return
+            waiter: Waiter = entry.ticket
+            if waiter.granted.done():
+                continue
+            attempt = self.balancer.begin(waiter.exclude)
+            if attempt is None:
+                # There is no room after all, so the entry goes back to its old place.
+                self.queue.push(entry.caller, entry.priority, entry.deadline, waiter)
+                return
+            waiter.granted.set_result(attempt)
+
+
+class LoadController:
+    """Finds room for calls on the instances of their service.
+
+    Parameters
+    ----------
+    node
+        This node, which decides its subset of the instances.
+    domain
+        Failure domain of this node.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        domain: str,
+        queue_length: int,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+    ) -> None:
+        self._node = node
+        self._domain = domain
+        self._queue_length = queue_length
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._document: Document | None = None
+        self._instances: list[Instance] = []
+        self._nodes = 1
+        self._callers_by_service: dict[ServiceName, int] = {}
+        self.service_by_name: dict[ServiceName, Service] = {}
+
+    def set_document(self, document: Document | None) -> None:
+        """Take in the document in force."""
+        self._document = document
+        self._refresh()
+
+    def set_instances(self, instances: Iterable[Instance], nodes: int) -> None:
+        """Take in all instances known, and the number of nodes."""
+        self._instances = list(instances)
+        self._nodes = nodes
+        self._refresh()
+
+    def set_callers(self, service: ServiceName, callers: int) -> None:
+        """Take in how many nodes were heard to call a service."""
+        if self._callers_by_service.get(service) != callers:
+            self._callers_by_service[service] = callers
+            self._refresh_service(service)
+
+    def check_in_time(self, call: Call) -> None:
+        """Refuse a call that would wait past its deadline.
+
+        Raises
+        ------
+        RequestError
+            ``NO_INSTANCE`` or ``TOO_LATE``, both not run.
+        """
+        service = self.service_by_name.get(call.service)
+        if service is None or not service.balancer.view_by_id:
+            raise RequestError(ErrorKind.NO_INSTANCE)
+        wait_s = service.queue.wait_estimate_s()
+        if wait_s and self._clock.now() + wait_s > call.deadline:
+            raise RequestError(ErrorKind.TOO_LATE, "The queue is too long for its deadline.")
+
+    async def acquire(self, call: Call) -> Attempt:
+        """Take a place on an instance, waiting in the service's queue if none is free."""
+        service = self.service_by_name.get(call.service)
+        if service is None or not service.balancer.view_by_id:
+            raise RequestError(ErrorKind.NO_INSTANCE)
+        exclude = self._exclude(service, call)
+        if not service.queue:
+            attempt = service.balancer.begin(exclude)
+            if attempt is not None:
+                return attempt
+        return await self._wait(service, call, exclude)
+
+    def release(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Give back a place and tell how the attempt ended."""
+        service = self.service_by_name.get(attempt.instance.service)
+        if service is None:
+            return
+        service.balancer.end(attempt, result)
+        service.queue.served()
+        service.wake()
+
+    def budget(self, name: ServiceName) -> RetryBudget:
+        """Return a service's retry budget."""
+        service = self.service_by_name.get(name)
+        if service is None:
+            raise RequestError(ErrorKind.NO_INSTANCE)
+        return service.balancer.budget
+
+    def hedge_after_s(self, call: Call) -> float | None:
+        """Return after how many seconds a second attempt is worth sending."""
+        service = self.service_by_name.get(call.service)
+        return service.balancer.hedge_after_s() if service else None
+
+    def may_hedge(self, call: Call) -> bool:
+        """Ask to send a second attempt now."""
+        service = self.service_by_name.get(call.service)
+        if service is None or service.queue:
+            return False
+        return service.balancer.may_hedge(call.progress.tried)
+
+    def hear_slow(self, service: ServiceName, instance: InstanceId, news: SlowNews) -> None:
+        """Take in word from the node beside an instance."""
+        state = self.service_by_name.get(service)
+        if state is not None:
+            state.balancer.hear_slow(instance, news)
+
+    def wake_all(self) -> None:
+        """Serve queues whose room came without a release, such as after a set-aside ended."""
+        for name, service in self.service_by_name.items():
+            if service.queue:
+                service.wake()
+            self._metrics.queued.labels(name).set(len(service.queue))
+            self._metrics.set_aside.labels(name).set(len(service.balancer.set_aside()))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {name: _dump_service(state) for name, state in self.service_by_name.items()}
+
+    def _exclude(self, service: Service, call: Call) -> set[InstanceId]:
+        tried = call.progress.tried
+        # The same instance twice is better than none at all.
+        return set() if tried >= service.balancer.view_by_id.keys() else tried
+
+    async def _wait(self, service: Service, call: Call, exclude: set[InstanceId]) -> Attempt:
+        assert call.route is not None
+        granted: asyncio.Future[Attempt] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(granted, exclude)
+        victim = service.queue.push(call.caller, call.route.priority, call.deadline, waiter)
+        if victim is not None:
+            _refuse(victim)
+        service.wake()
+        try:
+            return await granted
+        except asyncio.CancelledError:
+            if granted.done() and not granted.cancelled() and granted.exception() is None:
+                self.release(granted.result(), AttemptResult.CANCELLED)
+            raise
+
+    def _refresh(self) -> None:
+        names = set(self._document.service_by_name) if self._document else set()
+        for gone in set(self.service_by_name) - names:
+            del self.service_by_name[gone]
+        for name in names:
+            self._refresh_service(name)
+
+    def _refresh_service(self, name: ServiceName) -> None:
+        if self._document is None or name not in self._document.service_by_name:
+            return
+        part = self._document.service_by_name[name]
+        service = self.service_by_name.get(name)
+        if service is None:
+            service = self.service_by_name[name] = self._new_service(part)
+        service.balancer.set_part(part)
+        instances = [
+            instance
+            for instance in self._instances
+            if instance.service == name and instance.state is not InstanceState.DRAINING
+        ]
+        chosen = choose_subset(self._node, instances, part.subset_size, self._domain)
+        callers = self._callers_by_service.get(name, min(self._nodes, ASSUMED_CALLERS_MAX))
+        service.balancer.set_instances(chosen, callers)
+        service.wake()
+
+    def _new_service(self, part: ServicePart) -> Service:
+        balancer = Balancer(self._clock, self._rng, part, self._domain, DOMAIN_COST_S)
+        return Service(balancer, DeadlineQueue(self._clock, self._queue_length))
+
+
+def _refuse(entry: Waiting) -> None:
+    waiter: Waiter = entry.ticket
+    if not waiter.granted.done():
+        waiter.granted.set_exception(RequestError(ErrorKind.OVERLOADED))
+
+
+def _dump_service(service: Service) -> dict[str, Any]:
+    balancer = service.balancer
+    return {
+        "queued": len(service.queue),
+        "load": round(balancer.load(), 3),
+        "callers": balancer.callers,
+        "usual_latency_s": round(balancer.usual_latency_s(), 5),
+        "instances": {
+            instance_id: {
+                "address": str(view.instance.endpoint),
+                "domain": view.instance.domain,
+                "in_flight": view.in_flight,
+                "limit": view.limit.limit,
+                "latency_s": view.latency_s,
+                "ejection": view.ejection.state.value,
+                "error_share": round(view.ejection.error_share, 3),
+                "slow_factor": view.slow.factor,
+            }
+            for instance_id, view in balancer.view_by_id.items()
+        },
+    }
--- /dev/null
+++ b/peridottrack/controllers/members.py
@@ -0,0 +1,270 @@
+"""Holds the membership of nodes and, through it, all instances."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from reactivex.subject import BehaviorSubject
+
+from peridottrack import log
+from peridottrack.datagrams import Datagrams
+from peridottrack.exceptions import StoreUnavailable
+from peridottrack.membership import TICK_S, Membership
+from peridottrack.messages import (
+    Ack,
+    Buckets,
+    MemberState,
+    MemberUpdate,
+    Message,
+    Ping,
+    PingRequest,
+    Pull,
+    Rumor,
+)
+from peridottrack.metrics import Metrics
+from peridottrack.store import new_writer, put_settled, scan
+from peridottrack.types import (
+    ABSENT,
+    Clock,
+    Endpoint,
+    FailureDomain,
+    Instance,
+    InstanceId,
+    InstanceState,
+    NodeId,
+    Random,
+    Region,
+    RowKey,
+    ServiceName,
+    TableStore,
+    Write,
+    WriteAction,
+    WriteOutcome,
+)
+
+PARTITION = "member"
+JOIN_RETRY_S = 1.0
+CRASH_LISTENERS = 32
+MEMBERSHIP_BODIES = (Rumor, Ping, Ack, PingRequest, Buckets, Pull)
+VersionHeard = Callable[[NodeId, int], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Reachable:
+    """All instances that nodes vouch for, and how many nodes there are."""
+
+    instances: tuple[Instance, ...] = ()
+    nodes: int = 1
+
+
+class MembersController:
+    """Runs the membership protocol and publishes what it knows.
+
+    Attributes
+    ----------
+    reachable
+        Stream of `Reachable`, a new one after each change.
+    """
+
+    def __init__(
+        self,
+        me: MemberUpdate,
+        table: TableStore,
+        datagrams: Datagrams,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+        version_heard: VersionHeard = lambda node, version: None,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._version_heard = version_heard
+        self._row_version = ABSENT
+        self._publish_due = False
+        self._node_by_instance: dict[InstanceId, NodeId] = {}
+        self.reachable: BehaviorSubject[Reachable] = BehaviorSubject(Reachable())
+        self.membership = Membership(me, rng, datagrams.send, self._changed)
+        datagrams.handle(MEMBERSHIP_BODIES, self._receive)
+
+    async def join(self, seeds: Iterable[NodeId]) -> None:
+        """Join through the table and through seeds, either of which is enough."""
+        self.membership.contact(seeds, self._clock.now())
+        while not await self._join_table():
+            if len(self.membership.present()) > 1:
+                log.warning("joined through seeds, the table is not available")
+                return
+            await asyncio.sleep(JOIN_RETRY_S)
+            self.membership.contact(seeds, self._clock.now())
+
+    async def register(self) -> bool:
+        """Write this node's row, so that others can join through the table."""
+        me = self.membership.me
+        value = json.dumps(_update_to_data(me)).encode()
+        key = RowKey(PARTITION, me.node)
+        try:
+            row = await self._table.get(key)
+        except StoreUnavailable:
+            return False
+        expected = row.version if row else ABSENT
+        settled = await put_settled(self._table, key, expected, value, new_writer())
+        self._row_version = expected + 1
+        return settled.outcome is WriteOutcome.APPLIED
+
+    async def leave(self) -> None:
+        """Tell all nodes and the table that this node leaves."""
+        self.membership.leave(self._clock.now())
+        key = RowKey(PARTITION, self.membership.me.node)
+        delete = Write(WriteAction.DELETE, key, self._row_version)
+        await self._table.transact([delete], new_writer())
+
+    async def run(self) -> None:
+        """Keep time for the protocol, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.membership.tick(self._clock.now())
+
+    def set_instances(self, instances: Iterable[Instance]) -> None:
+        """Announce the instances beside this node."""
+        me = replace(self.membership.me, instances=tuple(instances))
+        self.membership.set_me(me, self._clock.now())
+
+    def set_document_version(self, version: int) -> None:
+        """Tell others which document is in force here."""
+        self.membership.set_document_version(version, self._clock.now())
+
+    def node_of(self, instance: InstanceId) -> NodeId | None:
+        """Return the node beside an instance."""
+        return self._node_by_instance.get(instance)
+
+    def admin_of(self, node: NodeId) -> Endpoint | None:
+        """Return a node's admin address."""
+        member = self.membership.member_by_node.get(node)
+        return member.update.admin if member else None
+
+    def peers(self) -> list[MemberUpdate]:
+        """Return the other nodes that are present."""
+        me = self.membership.me.node
+        return [update for update in self.membership.present() if update.node != me]
+
+    def crash_listeners(self) -> list[NodeId]:
+        """Return the nodes that are told of a crash: all of a few, a sample of many."""
+        nodes = [update.node for update in self.peers()]
+        if len(nodes) <= CRASH_LISTENERS:
+            return nodes
+        start = self._rng.randrange(len(nodes))
+        return [nodes[(start + step) % len(nodes)] for step in range(CRASH_LISTENERS)]
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            "me": self.membership.me.node,
+            "digest": f"{self.membership.digest():016x}",
+            "members": {
+                node: {**_update_to_data(member.update), "since_s": round(member.since, 3)}
+                for node, member in self.membership.member_by_node.items()
+            },
+        }
+
+    async def _join_table(self) -> bool:
+        try:
+            updates = await read_members(self._table)
+        except StoreUnavailable:
+            return False
+        self.membership.join(updates, self._clock.now())
+        return await self.register()
+
+    def _receive(self, message: Message) -> None:
+        self.membership.receive(message, self._clock.now())
+        if message.document_version > self.membership.document_version:
+            self._version_heard(message.sender, message.document_version)
+
+    def _changed(self, update: MemberUpdate) -> None:
+        log.debug(
+            "member",
+            "member changed",
+            member=update.node,
+            state=update.state.name,
+            incarnation=update.incarnation,
+        )
+        if not self._publish_due:
+            # Many changes may come in one datagram; readers get one new list.
+            self._publish_due = True
+            asyncio.get_running_loop().call_soon(self._publish)
+
+    def _publish(self) -> None:
+        self._publish_due = False
+        present = self.membership.present()
+        self._node_by_instance = {
+            instance.instance_id: update.node for update in present for instance in update.instances
+        }
+        for state in MemberState:
+            count = sum(
+                member.update.state is state for member in self.membership.member_by_node.values()
+            )
+            self._metrics.members.labels(state.name.lower()).set(count)
+        instances = tuple(instance for update in present for instance in update.instances)
+        self.reachable.on_next(Reachable(instances, len(present)))
+
+
+async def read_members(table: TableStore) -> list[MemberUpdate]:
+    """Read the rows of all nodes."""
+    return [update_from_data(json.loads(row.value)) async for row in scan(table, PARTITION)]
+
+
+def _update_to_data(update: MemberUpdate) -> dict[str, Any]:
+    return {
+        "node": update.node,
+        "incarnation": update.incarnation,
+        "state": update.state.name.lower(),
+        "admin": str(update.admin),
+        "domain": update.domain,
+        "region": update.region,
+        "instances": [
+            {
+                "id": instance.instance_id,
+                "service": instance.service,
+                "address": str(instance.endpoint),
+                "slots": instance.slots,
+                "connections": instance.connections,
+                "state": instance.state.value,
+            }
+            for instance in update.instances
+        ],
+    }
+
+
+def update_from_data(data: dict[str, Any]) -> MemberUpdate:
+    """Read a member's row."""
+    domain = FailureDomain(data["domain"])
+    instances = tuple(
+        Instance(
+            InstanceId(item["id"]),
+            ServiceName(item["service"]),
+            _endpoint(item["address"]),
+            item["slots"],
+            item["connections"],
+            domain,
+            InstanceState(item["state"]),
+        )
+        for item in data["instances"]
+    )
+    return MemberUpdate(
+        NodeId(data["node"]),
+        data["incarnation"],
+        MemberState[data["state"].upper()],
+        _endpoint(data["admin"]),
+        domain,
+        Region(data["region"]),
+        instances,
+    )
+
+
+def _endpoint(text: str) -> Endpoint:
+    host, _, port = text.rpartition(":")
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/peridottrack/exceptions.py
@@ -0,0 +1,124 @@
+"""All exceptions of the package, each with a stable code."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import ClassVar
+
+from peridottrack.errors import ErrorKind
+
+
+class PeridottrackError(Exception):
+    """Base of all exceptions of the package."""
+
+    code: ClassVar[str] = "internal"
+
+
+class RequestError(PeridottrackError):
+    """A request that ends with an error answer.
+
+    Parameters
+    ----------
+    kind
+        Decides the answer, by the table in `peridottrack.errors`.
+    detail
+        One sentence for the caller.
+    retry_after_s
+        Overrides the table's Retry-After.
+    """
+
+    code = "request"
+
+    def __init__(
+        self, kind: ErrorKind, detail: str = "", *, retry_after_s: int | None = None
+    ) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class NotConnected(PeridottrackError):
+    """No connection to an upstream came about, so no byte of the request left."""
+
+    code = "not_connected"
+
+
+class BrokeOff(PeridottrackError):
+    """The connection to an upstream broke before its answer's head was read."""
+
+    code = "broke_off"
+
+
+class StoreUnavailable(PeridottrackError):
+    """The platform's table or object store did not answer a read."""
+
+    code = "store_unavailable"
+
+
+class Faulty(PeridottrackError):
+    """A text that does not pass its checks.
+
+    Parameters
+    ----------
+    faults
+        One line each: place, what is wrong, what is allowed.
+    """
+
+    code = "faulty"
+
+    def __init__(self, faults: Sequence[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = tuple(faults)
+
+
+class SettingsFaulty(Faulty):
+    """A settings file that does not pass its checks."""
+
+    code = "settings_faulty"
+
+
+class DocumentFaulty(Faulty):
+    """A document that does not pass its checks."""
+
+    code = "document_faulty"
+
+
+class NotOwner(PeridottrackError):
+    """An operator tried to change a section that he does not own."""
+
+    code = "not_owner"
+
+
+class AcceptConflict(PeridottrackError):
+    """Somebody else changed the section first.
+
+    Parameters
+    ----------
+    difference
+        Unified diff between the two changes.
+    """
+
+    code = "accept_conflict"
+
+    def __init__(self, message: str, difference: str) -> None:
+        super().__init__(message)
+        self.difference = difference
+
+
+class AcceptUnknown(PeridottrackError):
+    """The store answered neither the write nor the reads that would settle it."""
+
+    code = "accept_unknown"
+
+
+class DatagramRejected(PeridottrackError):
+    """A datagram that is not authentic or cannot be decoded."""
+
+    code = "datagram_rejected"
+
+
+class PromiseBroken(PeridottrackError):
+    """A run of the demo found that a promise did not hold."""
+
+    code = "promise_broken"
--- /dev/null
+++ b/peridottrack/filters/dispatch.py
@@ -0,0 +1,193 @@
+"""Sends a request to the chosen instance and reads its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from peridottrack.call import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    Answer,
+    Call,
+)
+from peridottrack.errors import RAN_HEADER, ErrorKind, Ran
+from peridottrack.exceptions import BrokeOff, NotConnected, RequestError
+from peridottrack.headers import end_to_end_headers
+from peridottrack.metrics import Metrics
+from peridottrack.poison import PoisonList
+from peridottrack.types import Clock, Instance
+
+MAX_WHOLE_BYTES = 256 << 10
+STREAM_CHUNK_BYTES = 64 << 10
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request a second time by itself.
+
+    It does so for GET, PUT and DELETE after a connection error, out of sight of the retry
+    budget and of the count of instances that crashed, and would then report the second error
+    only. As middleware this sees each try, and turns its errors into ones that end the request.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise NotConnected(str(error)) from None
+    except (aiohttp.ClientError, OSError) as error:
+        raise BrokeOff(type(error).__name__) from error
+
+
+class Dispatcher:
+    """The end of the filter chain.
+
+    Parameters
+    ----------
+    reused, fresh
+        Client sessions with connections kept alive and with a new connection for each request.
+        Non-idempotent calls take a new one: on a reused connection that the upstream closes at
+        the same moment nobody could tell whether the request ran.
+    """
+
+    def __init__(
+        self,
+        reused: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+        poison: PoisonList,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._reused = reused
+        self._fresh = fresh
+        self._poison = poison
+        self._metrics = metrics
+        self._clock = clock
+
+    async def __call__(self, call: Call) -> Answer:
+        """Send the request once."""
+        assert call.chosen is not None
+        instance = call.chosen.instance
+        call.progress.tried.add(instance.instance_id)
+        self._metrics.attempts.labels(call.service, call.reason).inc()
+        response = await self._send(call, instance)
+        try:
+            return await self._read(call, response)
+        except BaseException:
+            response.close()
+            raise
+
+    async def _send(self, call: Call, instance: Instance) -> aiohttp.ClientResponse:
+        call.progress.dispatched.append(instance.instance_id)
+        session = self._reused if call.idempotent else self._fresh
+        try:
+            return await self._request(session, call, instance)
+        except NotConnected as error:
+            call.progress.dispatched.remove(instance.instance_id)
+            raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE, str(error)) from None
+        except BrokeOff as error:
+            if not call.replayable:
+                raise self._broke_off(call, error) from None
+        except (asyncio.CancelledError, RequestError):
+            call.progress.unsure = True
+            raise
+        return await self._send_again(call, instance)
+
+    async def _send_again(self, call: Call, instance: Instance) -> aiohttp.ClientResponse:
+        """Tell a kept connection that had gone stale from an instance that crashed.
+
+        The upstream may close a kept connection at the very moment at which a request is sent
+        on it. A new connection that works shows that this was all that happened.
+        """
+        call.progress.unsure = True
+        try:
+            return await self._request(self._fresh, call, instance)
+        except (NotConnected, BrokeOff) as error:
+            raise self._broke_off(call, error) from None
+
+    async def _request(
+        self, session: aiohttp.ClientSession, call: Call, instance: Instance
+    ) -> aiohttp.ClientResponse:
+        return await session.request(
+            call.request.method,
+            URL(f"http://{instance.endpoint}{call.request.raw_path}", encoded=True),
+            headers=self._headers(call),
+            data=self._body(call),
+            allow_redirects=False,
+        )
+
+    def _headers(self, call: Call) -> CIMultiDict[str]:
+        headers = end_to_end_headers(call.request.headers)
+        headers.popall("Expect", None)
+        headers.popall("Content-Length", None)
+        left_ms = max(1, int((call.deadline - self._clock.now()) * 1000))
+        headers[DEADLINE_HEADER] = str(left_ms)
+        headers[ATTEMPT_HEADER] = str(call.attempt)
+        headers[REQUEST_ID_HEADER] = call.request_id
+        return headers
+
+    def _body(self, call: Call) -> bytes | AsyncIterator[bytes] | None:
+        if call.body is not None:
+            return call.body or None
+        return _bounded_body(call)
+
+    async def _read(self, call: Call, response: aiohttp.ClientResponse) -> Answer:
+        if response.headers.get(RAN_HEADER) == Ran.NO.value and response.status >= 400:
+            response.release()
+            call.progress.dispatched.remove(call.chosen.instance.instance_id)  # type: ignore
+            raise RequestError(ErrorKind.UPSTREAM_SHED)
+        headers = end_to_end_headers(response.headers)
+        if call.request.method == "HEAD" or response.status in BODILESS_STATUSES:
+            return await self._whole(call, response, headers)
+        length = response.content_length
+        if length is None and "chunked" not in response.headers.get("Transfer-Encoding", ""):
+            # Without a length or chunks a broken connection would look like the answer's end.
+            call.progress.unsure = True
+            raise RequestError(ErrorKind.UPSTREAM_ANSWER_INVALID)
+        if length is not None and length <= MAX_WHOLE_BYTES:
+            return await self._whole(call, response, headers)
+        return self._streamed(response, headers, length)
+
+    async def _whole(
+        self, call: Call, response: aiohttp.ClientResponse, headers: CIMultiDict[str]
+    ) -> Answer:
+        try:
+            body = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise self._broke_off(call, error) from None
+        self._poison.finished(call.fingerprint)
+        return Answer(response.status, headers, body)
+
+    def _streamed(
+        self, response: aiohttp.ClientResponse, headers: CIMultiDict[str], length: int | None
+    ) -> Answer:
+        def close(whole: bool) -> None:
+            if whole:
+                response.release()
+            else:
+                response.close()
+
+        stream = response.content.iter_chunked(STREAM_CHUNK_BYTES)
+        return Answer(response.status, headers, None, aiter(stream), length, close)
+
+    def _broke_off(self, call: Call, error: Exception) -> RequestError:
+        assert call.chosen is not None
+        call.progress.unsure = True
+        self._poison.crashed(call.fingerprint, call.chosen.instance.instance_id)
+        return RequestError(ErrorKind.UPSTREAM_FAILED, type(error).__name__)
+
+
+async def _bounded_body(call: Call) -> AsyncIterator[bytes]:
+    assert call.route is not None
+    left = call.route.max_body_bytes
+    async for chunk in call.request.content.iter_chunked(STREAM_CHUNK_BYTES):
+        left -= len(chunk)
+        if left < 0:
+            raise RequestError(ErrorKind.UPSTREAM_FAILED, "The body outgrew the route's limit.")
+        yield chunk
--- /dev/null
+++ b/peridottrack/filters/retry.py
@@ -0,0 +1,105 @@
+"""Sends idempotent or not-run requests again, and hedges slow idempotent ones."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from peridottrack.call import Answer, Call, Proceed, cancel_and_wait
+from peridottrack.controllers.load import LoadController
+from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran
+from peridottrack.exceptions import RequestError
+from peridottrack.poison import PoisonList
+from peridottrack.retry import MAX_ATTEMPTS, backoff_s
+from peridottrack.types import Clock, Random
+
+# The instance did not run the request, so any request may be sent to another one.
+NOT_RUN_KINDS = frozenset({ErrorKind.UPSTREAM_SHED, ErrorKind.UPSTREAM_UNREACHABLE})
+# The request may have run, so only an idempotent one may be sent again.
+BROKEN_KINDS = frozenset({ErrorKind.UPSTREAM_FAILED, ErrorKind.UPSTREAM_ANSWER_INVALID})
+
+
+class RetryFilter:
+    """Makes further attempts within the service's retry budget."""
+
+    def __init__(self, load: LoadController, poison: PoisonList, clock: Clock, rng: Random) -> None:
+        self._load = load
+        self._poison = poison
+        self._clock = clock
+        self._rng = rng
+
+    async def __call__(self, call: Call, proceed: Proceed) -> Answer:
+        """Try until there is an answer or no further attempt is due."""
+        budget = self._load.budget(call.service)
+        budget.called()
+        while True:
+            try:
+                return await self._attempt(call, proceed)
+            except RequestError as error:
+                if not self._is_retried(call, error.kind) or not budget.take_retry():
+                    raise self._truthful(call, error) from None
+            call.attempt += 1
+            call.reason = "retry"
+            await asyncio.sleep(backoff_s(call.attempt, self._rng))
+
+    def _is_retried(self, call: Call, kind: ErrorKind) -> bool:
+        if call.attempt >= MAX_ATTEMPTS or call.body is None:
+            return False
+        if kind in NOT_RUN_KINDS:
+            return not call.progress.unsure or call.idempotent
+        if kind not in BROKEN_KINDS or not call.idempotent:
+            return False
+        return self._poison.held_for_s(call.fingerprint) <= 0
+
+    def _truthful(self, call: Call, error: RequestError) -> RequestError:
+        """Never say "not run" of a request with an attempt that may have run."""
+        if call.progress.unsure and RULE_BY_KIND[error.kind].ran is Ran.NO:
+            return RequestError(ErrorKind.UPSTREAM_FAILED, error.detail)
+        return error
+
+    async def _attempt(self, call: Call, proceed: Proceed) -> Answer:
+        wait_s = self._load.hedge_after_s(call) if call.replayable else None
+        if wait_s is None or self._clock.now() + wait_s >= call.deadline:
+            return await proceed(call)
+        return await self._hedged(call, proceed, wait_s)
+
+    async def _hedged(self, call: Call, proceed: Proceed, wait_s: float) -> Answer:
+        first = asyncio.ensure_future(proceed(call))
+        try:
+            done, _ = await asyncio.wait([first], timeout=wait_s)
+            if done or not self._load.may_hedge(call):
+                return await first
+            hedge_call = dataclasses.replace(call, attempt=call.attempt + 1, reason="hedge")
+            hedge = asyncio.ensure_future(proceed(hedge_call))
+        except asyncio.CancelledError:
+            await cancel_and_wait(first)
+            raise
+        return await _first_answer(first, hedge)
+
+
+async def _first_answer(first: asyncio.Task[Answer], hedge: asyncio.Task[Answer]) -> Answer:
+    """Return whichever answers first, cancel the other; fail only if both do."""
+    pending = {first, hedge}
+    try:
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if task.exception() is None:
+                    return task.result()
+        return first.result()
+    finally:
+        for task in (first, hedge):
+            if not task.done():
+                await cancel_and_wait(task)
+        _close_loser(first, hedge)
+
+
+def _close_loser(first: asyncio.Task[Answer], hedge: asyncio.Task[Answer]) -> None:
+    """Give up the second answer if both came at once."""
+    answered = [
+        task for task in (first, hedge) if not task.cancelled() and task.exception() is None
+    ]
+    for task in answered[1:]:
+        close = task.result().close
+        if close is not None:
+            close(False)
--- /dev/null
+++ b/peridottrack/filters/route.py
@@ -0,0 +1,69 @@
+"""Reads a request and finds its route in the document."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+from aiohttp import web
+
+from peridottrack.call import Answer, Call, Proceed
+from peridottrack.document import Document, RoutePart
+from peridottrack.errors import ErrorKind
+from peridottrack.exceptions import RequestError
+from peridottrack.poison import fingerprint
+
+MAX_HEADER_BYTES = 32 << 10
+MAX_BUFFERED_BYTES = 256 << 10
+CREDENTIAL_DIGEST_BYTES = 12
+
+
+class RouteFilter:
+    """Finds the route and reads a body that is small enough to be sent twice."""
+
+    def __init__(self, document: Callable[[], Document | None]) -> None:
+        self._document = document
+
+    async def __call__(self, call: Call, proceed: Proceed) -> Answer:
+        """Fill in what follows from the request line and headers."""
+        request = call.request
+        call.route = route = self._find(request)
+        call.idempotent = route.is_idempotent(request.method)
+        call.credential = _credential_hash(request)
+        call.caller = call.credential or request.remote or ""
+        call.body = await _read_body(request, route)
+        call.fingerprint = fingerprint(request.method, request.raw_path, call.body)
+        return await proceed(call)
+
+    def _find(self, request: web.BaseRequest) -> RoutePart:
+        document = self._document()
+        if document is None:
+            raise RequestError(ErrorKind.NOT_READY)
+        if sum(len(name) + len(value) for name, value in request.raw_headers) > MAX_HEADER_BYTES:
+            raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
+        path = request.path
+        if not request.raw_path.startswith("/") or ".." in path.split("/"):
+            raise RequestError(ErrorKind.BAD_REQUEST, "The target must be an absolute path.")
+        route, path_matched = document.find_route(request.method, path)
+        if route is None:
+            kind = ErrorKind.METHOD_NOT_ALLOWED if path_matched else ErrorKind.NO_ROUTE
+            raise RequestError(kind)
+        return route
+
+
+def _credential_hash(request: web.BaseRequest) -> str:
+    credential = request.headers.get("Authorization")
+    if not credential:
+        return ""
+    return hashlib.blake2b(credential.encode(), digest_size=CREDENTIAL_DIGEST_BYTES).hexdigest()
+
+
+async def _read_body(request: web.BaseRequest, route: RoutePart) -> bytes | None:
+    if not request.body_exists:
+        return b""
+    length = request.content_length
+    if length is not None and length > route.max_body_bytes:
+        raise RequestError(ErrorKind.BODY_TOO_LARGE, f"At most {route.max_body_bytes} bytes.")
+    if length is None or length > MAX_BUFFERED_BYTES:
+        return None
+    return await request.content.readexactly(length) if length else b""
--- /dev/null
+++ b/peridottrack/jsonc.py
@@ -0,0 +1,58 @@
+"""JSON with comments, and typed checking that lists all faults at once."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import json5
+from pydantic import BaseModel, ValidationError
+
+from peridottrack.exceptions import Faulty
+
+_MESSAGE_BY_TYPE = {"extra_forbidden": "unknown key", "missing": "is required"}
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+def parse(text: str, origin: str) -> Any:
+    """Parse JSON with comments.
+
+    Raises
+    ------
+    Faulty
+        With file, line and column of the first fault.
+    """
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        # The parser puts the position first, after its own name for the input.
+        place = str(error).replace("<string>", origin, 1)
+        raise Faulty([place]) from None
+
+
+def check(model: type[Model], data: Any, origin: str) -> Model:
+    """Fill a typed class from parsed data.
+
+    Raises
+    ------
+    Faulty
+        With one line for each fault: path of the key, what is wrong, what is allowed.
+    """
+    try:
+        return model.model_validate(data)
+    except ValidationError as error:
+        faults = [_fault_line(origin, fault) for fault in error.errors()]
+        raise Faulty(faults) from None
+
+
+def _fault_line(origin: str, fault: Any) -> str:
+    path = ".".join(str(part) for part in fault["loc"]) or "(top)"
+    message = _MESSAGE_BY_TYPE.get(fault["type"], fault["msg"].removeprefix("Value error, "))
+    if fault["type"] == "missing":
+        return f"{origin}: {path}: {message}"
+    return f"{origin}: {path}: {message} (got {_shortened(fault.get('input'))})"
+
+
+def _shortened(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 60 else text[:57] + "..."
--- /dev/null
+++ b/peridottrack/membership.py
@@ -0,0 +1,480 @@
+"""Membership of nodes: failure detection and spread of news, without I/O.
+
+Each node pings two neighbours on a ring of hashed addresses, so the cost for a node does not
+grow with their number and each node is watched by two others. News travels as rumours to a few
+random nodes at once; digests in each ping find what a rumour missed. The ways of the SWIM
+protocol (indirect pings, suspicion, refutation by incarnation) keep busy nodes in.
+"""
+
+from __future__ import annotations
+
+import bisect
+import hashlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from functools import lru_cache
+
+from peridottrack.messages import (
+    Ack,
+    Buckets,
+    MemberState,
+    MemberUpdate,
+    Message,
+    Ping,
+    PingRequest,
+    Pull,
+    Rumor,
+    Send,
+)
+from peridottrack.types import NodeId, Random
+
+TICK_S = 0.25
+PING_EVERY_TICKS = 2
+PING_TIMEOUT_S = 0.45
+INDIRECT_TIMEOUT_S = 0.5
+INDIRECT_NODES = 3
+ROUNDS_TO_SUSPECT = 2
+SUSPICION_S = 2.5
+FANOUT = 4
+RUMOR_ROUNDS = 3
+RUMOR_GAP_TICKS = 2
+RUMOR_BATCH = 8
+BUCKET_COUNT = 32
+MISMATCHES_TO_COMPARE = 3
+COMPARE_GAP_S = 2.0
+RECONTACT_GAP_S = 5.0
+FORGET_S = 6 * 3600.0
+PAUSE_S = 1.0
+HASH_BYTES = 8
+
+GONE_STATES = frozenset({MemberState.DEAD, MemberState.LEFT})
+
+
+@dataclass(slots=True)
+class Member:
+    """What this node believes of another.
+
+    Parameters
+    ----------
+    since
+        Local time of the last change of state.
+    """
+
+    update: MemberUpdate
+    since: float
+
+
+@dataclass(slots=True)
+class _Probe:
+    """A ping that waits for its answer, for this node or on behalf of another."""
+
+    target: NodeId
+    sent_at: float
+    round: int = 1
+    indirect: bool = False
+    on_behalf_of: tuple[NodeId, int] | None = None
+
+
+@dataclass(slots=True)
+class _Spread:
+    """A rumour that is still told to others."""
+
+    rounds_left: int
+    next_tick: int
+
+
+class Membership:
+    """One node's view of all nodes.
+
+    Parameters
+    ----------
+    send
+        Called for each message that has to go out; may drop it.
+    changed
+        Called with each update taken in.
+    """
+
+    def __init__(
+        self,
+        me: MemberUpdate,
+        rng: Random,
+        send: Send,
+        changed: Callable[[MemberUpdate], None] = lambda update: None,
+    ) -> None:
+        self._rng = rng
+        self._send_out = send
+        self._changed = changed
+        self._tick = 0
+        self._ticked_at: float | None = None
+        self._now = 0.0
+        self._number = 0
+        self._ring: list[tuple[int, NodeId]] = []
+        self._probe_by_number: dict[int, _Probe] = {}
+        self._spread_by_node: dict[NodeId, _Spread] = {}
+        self._version_rounds_left = 0
+        self._mismatches = 0
+        self._compared_at = float("-inf")
+        self._recontacted_at = 0.0
+        self._leaving = False
+        self._bucket_digests = [0] * BUCKET_COUNT
+        self._digest = 0
+        self._suspects: set[NodeId] = set()
+        self.document_version = 0
+        self.member_by_node: dict[NodeId, Member] = {}
+        self.me = me
+        self._put(me)
+
+    # -- what this node says of itself -------------------------------------------------
+
+    def set_me(self, me: MemberUpdate, now: float) -> None:
+        """Change what this node announces; its incarnation grows."""
+        self._now = now
+        self._say_of_me(replace(me, incarnation=self.me.incarnation + 1))
+
+    def leave(self, now: float) -> None:
+        """Tell all that this node leaves."""
+        self._now = now
+        self._leaving = True
+        self._say_of_me(
+            replace(
+                self.me,
+                state=MemberState.LEFT,
+                incarnation=self.me.incarnation + 1,
+            )
+        )
+
+    def set_document_version(self, version: int, now: float) -> None:
+        """Tell others that this node has a newer document."""
+        self._now = now
+        if version > self.document_version:
+            self.document_version = version
+            self._version_rounds_left = RUMOR_ROUNDS
+            self._tell_round([])
+
+    def join(self, updates: Iterable[MemberUpdate], now: float) -> None:
+        """Take in nodes read from the table."""
+        self._now = now
+        for update in updates:
+            self._take_in(update)
+
+    def contact(self, nodes: Iterable[NodeId], now: float) -> None:
+        """Ping nodes by address alone, to join through them."""
+        self._now = now
+        for node in nodes:
+            if node != self.me.node:
+                self._send(node, Ping(self._next_number()), (self.me,))
+
+    # -- queries -----------------------------------------------------------------------
+
+    def present(self) -> list[MemberUpdate]:
+        """Return all nodes that are not gone, this one included."""
+        return [
+            member.update
+            for member in self.member_by_node.values()
+            if member.update.state not in GONE_STATES
+        ]
+
+    def digest(self) -> int:
+        """Return a digest of the whole view, equal in nodes that agree."""
+        return self._digest
+
+    # -- time --------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Do what is due; to be called every `TICK_S` seconds."""
+        paused = self._ticked_at is not None and now - self._ticked_at > PAUSE_S
+        self._now = now
+        self._ticked_at = now
+        self._tick += 1
+        if paused:
+            # Answers were missed because this node slept, which says nothing of others.
+            self._probe_by_number.clear()
+            self._restart_suspicions()
+        self._check_probes()
+        self._check_suspicions()
+        if self._tick % PING_EVERY_TICKS == 0 and not self._leaving:
+            self._ping_neighbour()
+        self._tell_due()
+        self._recontact()
+
+    def receive(self, message: Message, now: float) -> None:
+        """Take in a message."""
+        self._now = now
+        for update in message.updates:
+            self._take_in(update)
+        body = message.body
+        if isinstance(body, Ping):
+            self._answer_ping(message.sender, body, message)
+        elif isinstance(body, Ack):
+            self._take_ack(body)
+            self._compare(message)
+        elif isinstance(body, PingRequest):
+            self._probe(body.target, on_behalf_of=(message.sender, body.number))
+        elif isinstance(body, Buckets):
+            self._pull_differing(message.sender, body)
+        elif isinstance(body, Pull):
+            self._answer_pull(message.sender, body)
+
+    # -- pings -------------------------------------------------------------------------
+
+    def _ping_neighbour(self) -> None:
+        neighbours = self._neighbours(2)
+        if neighbours:
+            turn = self._tick // PING_EVERY_TICKS
+            self._probe(neighbours[turn % len(neighbours)])
+
+    def _neighbours(self, count: int) -> list[NodeId]:
+        """Return the nodes that come next on the ring."""
+        ring = self._ring
+        position = bisect.bisect_right(ring, (_hash(self.me.node), self.me.node))
+        found: list[NodeId] = []
+        for step in range(len(ring)):
+            node = ring[(position + step) % len(ring)][1]
+            if node != self.me.node:
+                found.append(node)
+            if len(found) == count:
+                break
+        return found
+
+    def _probe(
+        self,
+        target: NodeId,
+        *,
+        round_number: int = 1,
+        on_behalf_of: tuple[NodeId, int] | None = None,
+    ) -> None:
+        number = self._next_number()
+        probe = _Probe(target, self._now, round_number, on_behalf_of=on_behalf_of)
+        self._probe_by_number[number] = probe
+        self._send(target, Ping(number), self._news_for(target))
+
+    def _answer_ping(self, sender: NodeId, ping: Ping, message: Message) -> None:
+        self._send(sender, Ack(ping.number), self._news_for(sender))
+        if sender not in self.member_by_node:
+            # A stranger that did not introduce itself: tell it of us, it will answer.
+            self._send(sender, Rumor(), (self.me,))
+
+    def _take_ack(self, ack: Ack) -> None:
+        probe = self._probe_by_number.pop(ack.number, None)
+        if probe is not None and probe.on_behalf_of is not None:
+            requester, number = probe.on_behalf_of
+            self._send(requester, Ack(number))
+
+    def _check_probes(self) -> None:
+        for number, probe in list(self._probe_by_number.items()):
+            age_s = self._now - probe.sent_at
+            if not probe.indirect and age_s >= PING_TIMEOUT_S:
+                self._go_indirect(number, probe)
+            elif probe.indirect and age_s >= PING_TIMEOUT_S + INDIRECT_TIMEOUT_S:
+                del self._probe_by_number[number]
+                self._probe_failed(probe)
+
+    def _go_indirect(self, number: int, probe: _Probe) -> None:
+        if probe.on_behalf_of is not None:
+            del self._probe_by_number[number]
+            return
+        probe.indirect = True
+        for helper in self._random_nodes(INDIRECT_NODES, exclude=probe.target):
+            self._send(helper, PingRequest(number, probe.target))
+
+    def _probe_failed(self, probe: _Probe) -> None:
+        if probe.round < ROUNDS_TO_SUSPECT:
+            self._probe(probe.target, round_number=probe.round + 1)
+            return
+        member = self.member_by_node.get(probe.target)
+        if member is not None and member.update.state is MemberState.ALIVE:
+            self._take_in(replace(member.update, state=MemberState.SUSPECT))
+
+    def _check_suspicions(self) -> None:
+        for node in list(self._suspects):
+            member = self.member_by_node[node]
+            if self._now - member.since >= SUSPICION_S:
+                self._take_in(replace(member.update, state=MemberState.DEAD))
+
+    def _restart_suspicions(self) -> None:
+        for node in self._suspects:
+            self.member_by_node[node].since = self._now
+
+    def _recontact(self) -> None:
+        """Ping one node that is gone now and then, so that a healed network is noticed."""
+        if self._now - self._recontacted_at < RECONTACT_GAP_S or self._leaving:
+            return
+        self._recontacted_at = self._now
+        gone = []
+        for node, member in list(self.member_by_node.items()):
+            if member.update.state not in GONE_STATES:
+                continue
+            if self._now - member.since > FORGET_S:
+                self._remove(node)
+            elif member.update.state is MemberState.DEAD:
+                gone.append(member.update)
+        if gone:
+            update = gone[self._rng.randrange(len(gone))]
+            self._send(update.node, Ping(self._next_number()), (self.me, update))
+
+    # -- news --------------------------------------------------------------------------
+
+    def _take_in(self, update: MemberUpdate) -> None:
+        if update.node == self.me.node:
+            self._refute(update)
+            return
+        known = self.member_by_node.get(update.node)
+        if known is not None and not update.beats(known.update):
+            return
+        self._put(update)
+        self._spread(update.node)
+        self._changed(update)
+
+    def _refute(self, update: MemberUpdate) -> None:
+        stale = update.incarnation < self.me.incarnation
+        if stale or update == self.me or self._leaving:
+            return
+        self._say_of_me(replace(self.me, incarnation=update.incarnation + 1))
+
+    def _say_of_me(self, me: MemberUpdate) -> None:
+        self.me = me
+        self._put(me)
+        self._spread(me.node)
+        self._changed(me)
+
+    def _spread(self, node: NodeId) -> None:
+        self._spread_by_node[node] = _Spread(RUMOR_ROUNDS, self._tick)
+
+    def _tell_due(self) -> None:
+        due = [
+            node for node, spread in self._spread_by_node.items() if spread.next_tick <= self._tick
+        ]
+        batch = due[:RUMOR_BATCH]
+        if batch or self._version_rounds_left:
+            self._tell_round(batch)
+
+    def _tell_round(self, nodes: list[NodeId]) -> None:
+        if self._version_rounds_left:
+            self._version_rounds_left -= 1
+        updates = []
+        for node in nodes:
+            spread = self._spread_by_node[node]
+            spread.rounds_left -= 1
+            spread.next_tick = self._tick + RUMOR_GAP_TICKS
+            if spread.rounds_left <= 0:
+                del self._spread_by_node[node]
+            updates.append(self.member_by_node[node].update)
+        for receiver in self._random_nodes(FANOUT, exclude=self.me.node):
+            self._send(receiver, Rumor(), tuple(updates))
+        for update in updates:
+            # The one concerned must hear it, or it could not refute.
+            if update.state is MemberState.SUSPECT:
+                self._send(update.node, Rumor(), (update,))
+
+    def _news_for(self, receiver: NodeId) -> tuple[MemberUpdate, ...]:
+        member = self.member_by_node.get(receiver)
+        if member is None:
+            return (self.me,)
+        if member.update.state is not MemberState.ALIVE:
+            return (self.me, member.update)
+        return ()
+
+    # -- comparing views ---------------------------------------------------------------
+
+    def _compare(self, message: Message) -> None:
+        if message.digest == self.digest():
+            self._mismatches = 0
+            return
+        self._mismatches += 1
+        # Right after news two views differ for a moment; only a lasting difference counts.
+        lasting = self._mismatches >= MISMATCHES_TO_COMPARE
+        if lasting and self._now - self._compared_at >= COMPARE_GAP_S:
+            self._compared_at = self._now
+            self._send(message.sender, Buckets(tuple(self._bucket_digests)))
+
+    def _pull_differing(self, sender: NodeId, body: Buckets) -> None:
+        differing = [
+            index
+            for index, digest in enumerate(body.digests[:BUCKET_COUNT])
+            if digest != self._bucket_digests[index]
+        ]
+        if differing:
+            self._send(sender, Pull(tuple(differing)))
+            self._send_buckets(sender, differing)
+
+    def _answer_pull(self, sender: NodeId, body: Pull) -> None:
+        self._send_buckets(sender, body.buckets)
+
+    def _send_buckets(self, receiver: NodeId, buckets: Iterable[int]) -> None:
+        wanted = set(buckets)
+        updates = [
+            member.update for node, member in self.member_by_node.items() if _bucket(node) in wanted
+        ]
+        for start in range(0, len(updates), RUMOR_BATCH):
+            self._send(receiver, Rumor(), tuple(updates[start : start + RUMOR_BATCH]))
+
+    # -- bookkeeping -------------------------------------------------------------------
+
+    def _put(self, update: MemberUpdate) -> None:
+        old = self.member_by_node.get(update.node)
+        change = _update_hash(update)
+        if old is not None:
+            change ^= _update_hash(old.update)
+        self._change_digest(update.node, change)
+        if update.state is MemberState.SUSPECT:
+            self._suspects.add(update.node)
+        else:
+            self._suspects.discard(update.node)
+        self.member_by_node[update.node] = Member(update, self._now)
+        self._place_on_ring(update.node, update.state not in GONE_STATES)
+
+    def _remove(self, node: NodeId) -> None:
+        member = self.member_by_node.pop(node)
+        self._change_digest(node, _update_hash(member.update))
+        self._spread_by_node.pop(node, None)
+        self._place_on_ring(node, False)
+
+    def _change_digest(self, node: NodeId, change: int) -> None:
+        self._bucket_digests[_bucket(node)] ^= change
+        self._digest ^= change
+
+    def _place_on_ring(self, node: NodeId, present: bool) -> None:
+        entry = (_hash(node), node)
+        index = bisect.bisect_left(self._ring, entry)
+        there = index < len(self._ring) and self._ring[index] == entry
+        if present and not there:
+            self._ring.insert(index, entry)
+        elif there and not present:
+            del self._ring[index]
+
+    def _random_nodes(self, count: int, exclude: NodeId) -> list[NodeId]:
+        chosen: list[NodeId] = []
+        for _ in range(min(len(self._ring), count * 3)):
+            node = self._ring[self._rng.randrange(len(self._ring))][1]
+            if node not in (exclude, self.me.node) and node not in chosen:
+                chosen.append(node)
+            if len(chosen) == count:
+                break
+        return chosen
+
+    def _next_number(self) -> int:
+        self._number = (self._number + 1) & 0xFFFFFFFF
+        return self._number
+
+    def _send(
+        self,
+        receiver: NodeId,
+        body: Rumor | Ping | Ack | PingRequest | Buckets | Pull,
+        updates: tuple[MemberUpdate, ...] = (),
+    ) -> None:
+        message = Message(self.me.node, body, self.document_version, self.digest(), updates)
+        self._send_out(receiver, message)
+
+
+@lru_cache(maxsize=8_192)
+def _hash(node: NodeId) -> int:
+    return int.from_bytes(hashlib.blake2b(node.encode(), digest_size=HASH_BYTES).digest(), "big")
+
+
+def _bucket(node: NodeId) -> int:
+    return _hash(node) % BUCKET_COUNT
+
+
+def _update_hash(update: MemberUpdate) -> int:
+    text = f"{update.node} {update.incarnation} {update.state.value}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=HASH_BYTES).digest(), "big")
--- /dev/null
+++ b/peridottrack/node.py
@@ -0,0 +1,269 @@
+"""Assembly of one node: the process beside an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from peridottrack import log
+from peridottrack.admin import HttpPeers, admin_app, announce_app
+from peridottrack.bucket import MeasuringBudget
+from peridottrack.call import build_chain
+from peridottrack.claims import ClaimStore, RowClaims
+from peridottrack.clock import LoopClock
+from peridottrack.config import Settings, parse_endpoint
+from peridottrack.controllers.announce import AnnounceController
+from peridottrack.controllers.claims import ClaimsController
+from peridottrack.controllers.document import DocumentController
+from peridottrack.controllers.drain import DrainController
+from peridottrack.controllers.load import WAKE_INTERVAL_S, LoadController
+from peridottrack.controllers.measuring import MeasuringController
+from peridottrack.controllers.members import MembersController, Reachable
+from peridottrack.datagrams import Datagrams
+from peridottrack.document import Document
+from peridottrack.filters.admission import AdmissionFilter
+from peridottrack.filters.choice import ChoiceFilter
+from peridottrack.filters.claim import ClaimFilter
+from peridottrack.filters.deadline import deadline_filter
+from peridottrack.filters.dispatch import Dispatcher, send_once
+from peridottrack.filters.hold import HoldFilter
+from peridottrack.filters.retry import RetryFilter
+from peridottrack.filters.route import RouteFilter
+from peridottrack.front import Front
+from peridottrack.messages import Crash, MemberState, MemberUpdate, Message
+from peridottrack.metrics import Metrics
+from peridottrack.platform_http import HttpTable
+from peridottrack.poison import PoisonList
+from peridottrack.store import GuardedTable
+from peridottrack.types import Clock, FailureDomain, InstanceId, NodeId, Region
+from peridottrack.wire import Sealer
+
+CONNECT_TIMEOUT_S = 1.0
+UPSTREAM_KEEPALIVE_S = 15.0
+SHUTDOWN_S = 2.0
+# The upstream gets the headers that the caller sent and no others.
+ADDED_BY_CLIENT = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class Node:
+    """One node, built from its settings.
+
+    Attributes
+    ----------
+    members, document, load, claims, announce, measuring, drain
+        The controllers.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self._clock = clock or LoopClock()
+        self._rng = random.Random()
+        self.metrics = Metrics()
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._runners: list[web.BaseRunner] = []
+        self._sessions: list[aiohttp.ClientSession] = []
+
+    async def start(self) -> None:
+        """Join the others, read the document and begin to listen."""
+        self._build()
+        gossip = parse_endpoint(self.settings.gossip_address)
+        await self.datagrams.start(gossip.host, gossip.port)
+        self._spawn(self.members.run())
+        await self._listen_admin()
+        seeds = [NodeId(seed) for seed in self.settings.seeds]
+        await self.members.join(seeds)
+        if not await self.document.poll():
+            await self.document.start_from_peers([peer.node for peer in self.members.peers()])
+        self._spawn(self.document.run())
+        self._spawn(self.announce.run())
+        self._spawn(self.measuring.run())
+        self._spawn(self.measuring.run_detector())
+        self._spawn(self._wake_queues())
+        await self._listen_callers()
+        log.event("node started", node=self.settings.gossip_address)
+
+    async def leave(self) -> bool:
+        """Shut down without harm; False if the time allowed was not enough."""
+        log.event("node leaves", node=self.settings.gossip_address)
+        self.drain.leave()
+        self.announce.drain_all()
+        idle = await self.drain.wait_idle(self.settings.drain_s)
+        settled = await self.claims.wait_repaired(self.settings.drain_s)
+        await self.members.leave()
+        await self.close()
+        log.event("node left", idle=idle, claims_settled=settled)
+        return idle and settled
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
+        for session in self._sessions:
+            await session.close()
+        self.datagrams.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all controllers."""
+        return {topic: dump() for topic, dump in self._dump_by_topic().items()}
+
+    # -- assembly ----------------------------------------------------------------------
+
+    def _build(self) -> None:
+        settings, clock, rng, metrics = self.settings, self._clock, self._rng, self.metrics
+        control = self._session(aiohttp.TCPConnector(limit=0))
+        raw_table = HttpTable(
+            control, settings.table_url, settings.table_name, settings.store_timeout_s
+        )
+        self.table = GuardedTable(raw_table, clock, metrics)
+        me = self._me()
+        sealer = Sealer(settings.message_keys, me.node, me.incarnation)
+        self.datagrams = Datagrams(sealer, metrics)
+        self.drain = DrainController(clock, metrics)
+        self.poison = PoisonList(clock)
+        peers = HttpPeers(control)
+        self.document = DocumentController(
+            self.table, peers, settings.document_poll_s, clock, rng, metrics
+        )
+        self.members = MembersController(
+            me, self.table, self.datagrams, clock, rng, metrics, self.document.hear_version
+        )
+        peers.members = self.members
+        self.load = LoadController(
+            me.node, settings.failure_domain, settings.queue_length, clock, rng, metrics
+        )
+        host = parse_endpoint(settings.announce_address).host
+        self.announce = AnnounceController(
+            host,
+            settings.failure_domain,
+            settings.announce_lease_s,
+            clock,
+            self.members.set_instances,
+        )
+        budget = MeasuringBudget(
+            clock, settings.measuring_messages_per_s, settings.measuring_bytes_per_s
+        )
+        self.measuring = MeasuringController(
+            self.members, self.load, self.announce, self.datagrams, budget, clock, rng, metrics
+        )
+        name = f"{me.node}/{me.incarnation}"
+        self.claims = ClaimsController(self._claim_store(), name, clock, rng, metrics)
+        self._connect_streams()
+        self._build_front()
+
+    def _me(self) -> MemberUpdate:
+        return MemberUpdate(
+            NodeId(self.settings.gossip_address),
+            int(self._clock.wall() * 1000),
+            MemberState.ALIVE,
+            parse_endpoint(self.settings.admin_address),
+            FailureDomain(self.settings.failure_domain),
+            Region(self.settings.region),
+        )
+
+    def _claim_store(self) -> ClaimStore:
+        return RowClaims(self.table, self._clock)
+
+    def _connect_streams(self) -> None:
+        def take_reachable(reachable: Reachable) -> None:
+            self.load.set_instances(reachable.instances, reachable.nodes)
+
+        def take_document(document: Document | None) -> None:
+            self.load.set_document(document)
+            self.members.set_document_version(self.document.version)
+
+        self.members.reachable.subscribe(take_reachable)
+        self.document.documents.subscribe(take_document)
+        self.datagrams.handle((Crash,), self._take_crash)
+        self.poison.on_crash = self._tell_crash
+
+    def _build_front(self) -> None:
+        reused = self._session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=UPSTREAM_KEEPALIVE_S), send_once
+        )
+        fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True), send_once)
+        self.claim_filter = ClaimFilter(self.claims)
+        chain = build_chain(
+            [
+                RouteFilter(lambda: self.document.snapshot.document),
+                deadline_filter,
+                AdmissionFilter(self.drain, self.load),
+                HoldFilter(self.poison, self.metrics),
+                self.claim_filter,
+                RetryFilter(self.load, self.poison, self._clock, self._rng),
+                ChoiceFilter(self.load),
+            ],
+            Dispatcher(reused, fresh, self.poison, self.metrics, self._clock),
+        )
+        self.front = Front(chain, self.drain, self._clock, self.metrics)
+
+    def _session(
+        self, connector: aiohttp.TCPConnector, *middlewares: aiohttp.ClientMiddlewareType
+    ) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=connector,
+            middlewares=middlewares,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            skip_auto_headers=ADDED_BY_CLIENT,
+        )
+        self._sessions.append(session)
+        return session
+
+    # -- listening and background work -------------------------------------------------
+
+    async def _listen_admin(self) -> None:
+        admin = admin_app(self.metrics, self.document, self._dump_by_topic())
+        await self._listen(web.AppRunner(admin, access_log=None), self.settings.admin_address)
+        host = parse_endpoint(self.settings.announce_address).host
+        announce = announce_app(self.announce, host)
+        await self._listen(web.AppRunner(announce, access_log=None), self.settings.announce_address)
+
+    async def _listen_callers(self) -> None:
+        runner = web.ServerRunner(self.front.server(), shutdown_timeout=SHUTDOWN_S)
+        await self._listen(runner, self.settings.callers_address)
+
+    async def _listen(self, runner: web.BaseRunner, address: str) -> None:
+        endpoint = parse_endpoint(address)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _wake_queues(self) -> None:
+        while True:
+            await asyncio.sleep(WAKE_INTERVAL_S)
+            self.load.wake_all()
+
+    def _dump_by_topic(self) -> dict[str, Any]:
+        return {
+            "members": self.members.dump,
+            "document": self.document.dump,
+            "load": self.load.dump,
+            "claims": self.claims.dump,
+            "drain": self.drain.dump,
+            "announce": self.announce.dump,
+            "measuring": self.measuring.dump,
+            "poison": lambda: {"held_off": self.poison.held_marks()},
+        }
+
+    # -- poison requests ---------------------------------------------------------------
+
+    def _tell_crash(self, mark: str, instance: InstanceId) -> None:
+        message = Message(self.members.membership.me.node, Crash(mark, instance))
+        for peer in self.members.crash_listeners():
+            self.datagrams.send(peer, message)
+
+    def _take_crash(self, message: Message) -> None:
+        assert isinstance(message.body, Crash)
+        self.poison.heard(message.body.fingerprint, message.body.instance)
--- /dev/null
+++ b/peridottrack/platform_http.py
@@ -0,0 +1,231 @@
+"""Binding of the platform's stores to HTTP.
+
+The table service is spoken to as in the Amazon DynamoDB API of 2012-08-10 (JSON 1.0), the
+object store as in the Amazon S3 REST API, both limited to what `TableStore` and `ObjectStore`
+need. Another platform is another module like this one.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import quote
+from xml.etree import ElementTree
+
+import aiohttp
+
+from peridottrack.exceptions import StoreUnavailable
+from peridottrack.types import (
+    ABSENT,
+    Page,
+    Row,
+    RowKey,
+    Write,
+    WriteAction,
+    WriteOutcome,
+    WriterId,
+)
+
+TARGET_HEADER = "X-Amz-Target"
+TARGET_PREFIX = "DynamoDB_20120810."
+JSON_TYPE = "application/x-amz-json-1.0"
+CONDITION_ABSENT = "attribute_not_exists(pk)"
+CONDITION_VERSION = "ver = :ver"
+S3_LIST_NAME = "{*}Contents/{*}Key"
+ITEM_KIND_BY_ACTION = {
+    WriteAction.PUT: "Put",
+    WriteAction.DELETE: "Delete",
+    WriteAction.CHECK: "ConditionCheck",
+}
+# The service answers these before it writes anything.
+REFUSING_ERRORS = frozenset(
+    {"ThrottlingException", "ProvisionedThroughputExceededException", "RequestLimitExceeded"}
+)
+
+
+def row_to_item(row: Row) -> dict[str, Any]:
+    """Return the table service's form of a row."""
+    return {
+        **key_to_item(row.key),
+        "body": {"B": base64.b64encode(row.value).decode()},
+        "ver": {"N": str(row.version)},
+        "writer": {"S": row.writer},
+    }
+
+
+def item_to_row(item: Mapping[str, Any]) -> Row:
+    """Read a row from the table service's form."""
+    return Row(
+        item_to_key(item),
+        base64.b64decode(item["body"]["B"]),
+        int(item["ver"]["N"]),
+        WriterId(item["writer"]["S"]),
+    )
+
+
+def key_to_item(key: RowKey) -> dict[str, Any]:
+    """Return the table service's form of a key."""
+    return {"pk": {"S": key.partition}, "sk": {"S": key.sort}}
+
+
+def item_to_key(item: Mapping[str, Any]) -> RowKey:
+    """Read a key from the table service's form."""
+    return RowKey(item["pk"]["S"], item["sk"]["S"])
+
+
+class HttpTable:
+    """`TableStore` over the DynamoDB API."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, table_name: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._table_name = table_name
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def get(self, key: RowKey) -> Row | None:
+        """Read one row, consistently."""
+        body = {"Key": key_to_item(key), "ConsistentRead": True}
+        answer = await self._read("GetItem", body)
+        return item_to_row(answer["Item"]) if "Item" in answer else None
+
+    async def query(self, partition: str, after: str | None = None, limit: int = 100) -> Page:
+        """Read rows of a partition in order."""
+        body: dict[str, Any] = {
+            "KeyConditionExpression": "pk = :pk",
+            "ExpressionAttributeValues": {":pk": {"S": partition}},
+            "ConsistentRead": True,
+            "Limit": limit,
+        }
+        if after is not None:
+            body["ExclusiveStartKey"] = key_to_item(RowKey(partition, after))
+        answer = await self._read("Query", body)
+        rows = [item_to_row(item) for item in answer["Items"]]
+        last = answer.get("LastEvaluatedKey")
+        return Page(rows, item_to_key(last).sort if last else None)
+
+    async def transact(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
+        """Apply all writes or none."""
+        body = {"TransactItems": [self._transact_item(write, writer) for write in writes]}
+        try:
+            status, answer = await self._post("TransactWriteItems", body)
+        except aiohttp.ClientConnectorError:
+            return WriteOutcome.REFUSED
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return WriteOutcome.UNKNOWN
+        return _transact_outcome(status, answer)
+
+    def _transact_item(self, write: Write, writer: WriterId) -> dict[str, Any]:
+        part: dict[str, Any] = {"TableName": self._table_name}
+        if write.action is WriteAction.PUT:
+            row = Row(write.key, write.value, write.expected + 1, writer)
+            part["Item"] = row_to_item(row)
+        else:
+            part["Key"] = key_to_item(write.key)
+        if write.expected == ABSENT:
+            part["ConditionExpression"] = CONDITION_ABSENT
+        else:
+            part["ConditionExpression"] = CONDITION_VERSION
+            part["ExpressionAttributeValues"] = {":ver": {"N": str(write.expected)}}
+        return {ITEM_KIND_BY_ACTION[write.action]: part}
+
+    async def _read(self, operation: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            status, answer = await self._post(operation, {"TableName": self._table_name, **body})
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise StoreUnavailable(f"{operation}: {error!r}") from error
+        if status != 200:
+            raise StoreUnavailable(f"{operation}: status {status}")
+        return answer
+
+    async def _post(self, operation: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        headers = {TARGET_HEADER: TARGET_PREFIX + operation, "Content-Type": JSON_TYPE}
+        data = json.dumps(body).encode()
+        async with self._session.post(
+            self._url, data=data, headers=headers, timeout=self._timeout
+        ) as answer:
+            return answer.status, json.loads(await answer.read())
+
+
+def _transact_outcome(status: int, answer: Mapping[str, Any]) -> WriteOutcome:
+    if status == 200:
+        return WriteOutcome.APPLIED
+    error = str(answer.get("__type", "")).rpartition("#")[2]
+    if error in REFUSING_ERRORS:
+        return WriteOutcome.REFUSED
+    if error != "TransactionCanceledException":
+        return WriteOutcome.UNKNOWN
+    codes = {reason.get("Code") for reason in answer.get("CancellationReasons", [])}
+    if "ConditionalCheckFailed" in codes:
+        return WriteOutcome.CONFLICT
+    # Cancelled for contention or throttling: nothing was written.
+    return WriteOutcome.REFUSED
+
+
+class HttpObjects:
+    """`ObjectStore` over the S3 REST API, path style."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, bucket: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = f"{url}/{bucket}"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def put_if_absent(self, name: str, body: bytes) -> WriteOutcome:
+        """Store an object unless the name is taken."""
+        try:
+            async with self._session.put(
+                self._object_url(name),
+                data=body,
+                headers={"If-None-Match": "*"},
+                timeout=self._timeout,
+            ) as answer:
+                return _put_outcome(answer.status)
+        except aiohttp.ClientConnectorError:
+            return WriteOutcome.REFUSED
+        except (aiohttp.ClientError, TimeoutError):
+            return WriteOutcome.UNKNOWN
+
+    async def get(self, name: str) -> bytes | None:
+        """Read an object."""
+        status, body = await self._call("GET", self._object_url(name))
+        return None if status == 404 else body
+
+    async def list(self, prefix: str, after: str | None = None, limit: int = 100) -> Sequence[str]:
+        """List names in order, past ``after``."""
+        query = f"list-type=2&prefix={quote(prefix)}&max-keys={limit}"
+        if after is not None:
+            query += f"&start-after={quote(after)}"
+        _, body = await self._call("GET", f"{self._url}?{query}")
+        return [key.text or "" for key in ElementTree.fromstring(body).iterfind(S3_LIST_NAME)]
+
+    async def delete(self, name: str) -> None:
+        """Delete an object; a missing one is no error."""
+        await self._call("DELETE", self._object_url(name))
+
+    def _object_url(self, name: str) -> str:
+        return f"{self._url}/{quote(name)}"
+
+    async def _call(self, method: str, url: str) -> tuple[int, bytes]:
+        try:
+            async with self._session.request(method, url, timeout=self._timeout) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise StoreUnavailable(f"{method}: {error!r}") from error
+        if answer.status not in (200, 204, 404):
+            raise StoreUnavailable(f"{method}: status {answer.status}")
+        return answer.status, body
+
+
+def _put_outcome(status: int) -> WriteOutcome:
+    if status == 200:
+        return WriteOutcome.APPLIED
+    if status in (409, 412):
+        return WriteOutcome.CONFLICT
+    if status in (429, 503):
+        return WriteOutcome.REFUSED
+    return WriteOutcome.UNKNOWN
--- /dev/null
+++ b/peridottrack/revisions.py
@@ -0,0 +1,266 @@
+"""The document in the platform's table: reading it, accepting a section, its history.
+
+One row, the head, names the version of each section; its own version is the document's. Each
+accepted section is a row that never changes. Accepting writes both in one transaction, so a
+reader of the head finds exactly the sections that were checked together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from peridottrack import jsonc
+from peridottrack.document import (
+    Document,
+    SectionPart,
+    check_document,
+    parse_section,
+    section_from_data,
+)
+from peridottrack.exceptions import AcceptConflict, AcceptUnknown, NotOwner, StoreUnavailable
+from peridottrack.store import new_writer, scan, transact_settled
+from peridottrack.types import (
+    ABSENT,
+    Row,
+    RowKey,
+    SectionName,
+    TableStore,
+    Write,
+    WriteAction,
+    WriteOutcome,
+)
+
+PARTITION = "document"
+HEAD_KEY = RowKey(PARTITION, "head")
+ACCEPT_ATTEMPTS = 8
+ACCEPT_PAUSE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Which version of each section is in force.
+
+    Parameters
+    ----------
+    version
+        Version of the document; 0 if there is none yet.
+    """
+
+    version: int = 0
+    version_by_section: dict[SectionName, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """One accepted version of one section.
+
+    Parameters
+    ----------
+    data
+        The parsed text, so that nodes need not parse comments.
+    document_version
+        Version of the document that brought it into force.
+    """
+
+    section: SectionName
+    version: int
+    text: str
+    data: Any
+    operator: str
+    wall_s: float
+    document_version: int
+
+    def encode(self) -> bytes:
+        """Return the row's value."""
+        return json.dumps(
+            {
+                "text": self.text,
+                "data": self.data,
+                "operator": self.operator,
+                "wall_s": self.wall_s,
+                "document_version": self.document_version,
+            }
+        ).encode()
+
+
+def revision_key(section: SectionName, version: int) -> RowKey:
+    """Return where a revision lives."""
+    return RowKey(PARTITION, f"section/{section}/{version:09d}")
+
+
+def decode_head(row: Row | None) -> Head:
+    """Read the head row."""
+    if row is None:
+        return Head()
+    sections = json.loads(row.value)["sections"]
+    return Head(row.version, {SectionName(name): version for name, version in sections.items()})
+
+
+def decode_revision(section: SectionName, version: int, row: Row) -> Revision:
+    """Read a revision's row."""
+    return Revision(section, version, **json.loads(row.value))
+
+
+async def read_head(table: TableStore) -> Head:
+    """Read which versions are in force."""
+    return decode_head(await table.get(HEAD_KEY))
+
+
+async def read_revision(table: TableStore, section: SectionName, version: int) -> Revision | None:
+    """Read one accepted version of a section."""
+    row = await table.get(revision_key(section, version))
+    return decode_revision(section, version, row) if row else None
+
+
+async def read_history(table: TableStore, section: SectionName) -> list[Revision]:
+    """Read all accepted versions of a section, oldest first."""
+    prefix = f"section/{section}/"
+    history = []
+    async for row in scan(table, PARTITION, prefix):
+        if not row.key.sort.startswith(prefix):
+            break
+        version = int(row.key.sort.removeprefix(prefix))
+        history.append(decode_revision(section, version, row))
+    return history
+
+
+async def read_document(table: TableStore) -> tuple[Head, dict[SectionName, Revision]]:
+    """Read the document in force."""
+    head = await read_head(table)
+    revision_by_section = {}
+    for section, version in head.version_by_section.items():
+        revision = await read_revision(table, section, version)
+        if revision is None:
+            raise StoreUnavailable(f"section {section} version {version} is missing")
+        revision_by_section[section] = revision
+    return head, revision_by_section
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """An operator's change of one section.
+
+    Parameters
+    ----------
+    base
+        Version of the section that the operator started from, 0 for a new section.
+    """
+
+    section: SectionName
+    base: int
+    text: str
+    operator: str
+    wall_s: float
+
+
+async def accept(table: TableStore, edit: Edit) -> Revision:
+    """Bring an edit into force.
+
+    Raises
+    ------
+    DocumentFaulty
+        If the document with this edit does not pass its checks.
+    NotOwner
+        If the operator does not own the section.
+    AcceptConflict
+        If the section was changed since the operator read it.
+    AcceptUnknown
+        If the store does not tell whether it took the edit.
+    StoreUnavailable
+        If the store is down; nothing was accepted.
+    """
+    part = parse_section(edit.text, edit.section)
+    data = jsonc.parse(edit.text, edit.section)
+    for attempt in range(ACCEPT_ATTEMPTS):
+        if attempt:
+            await asyncio.sleep(ACCEPT_PAUSE_S * attempt)
+        head, current = await read_document(table)
+        _check_owner(edit, part, current.get(edit.section))
+        await _check_base(table, edit, head, current.get(edit.section))
+        _check_whole(edit, part, current)
+        revision = Revision(
+            edit.section,
+            edit.base + 1,
+            edit.text,
+            data,
+            edit.operator,
+            edit.wall_s,
+            head.version + 1,
+        )
+        if await _write(table, head, revision):
+            return revision
+    raise StoreUnavailable("too many other sections are being accepted; nothing was accepted")
+
+
+async def _write(table: TableStore, head: Head, revision: Revision) -> bool:
+    """Write revision and head; False if another section was accepted first."""
+    versions = {**head.version_by_section, revision.section: revision.version}
+    proof = revision_key(revision.section, revision.version)
+    writes = [
+        Write(WriteAction.PUT, proof, ABSENT, revision.encode()),
+        Write(
+            WriteAction.PUT,
+            HEAD_KEY,
+            head.version,
+            json.dumps({"sections": versions}).encode(),
+        ),
+    ]
+    settled = await transact_settled(table, writes, proof, new_writer())
+    if settled.outcome is WriteOutcome.APPLIED:
+        return True
+    if settled.outcome is WriteOutcome.CONFLICT:
+        return False
+    if settled.outcome is WriteOutcome.REFUSED:
+        raise StoreUnavailable("the store refused the write; nothing was accepted")
+    raise AcceptUnknown(
+        f"section {revision.section} version {revision.version} may have been accepted or may yet"
+        f" be; `document status` and `document show {revision.section}` will tell"
+    )
+
+
+def _check_owner(edit: Edit, part: SectionPart, current: Revision | None) -> None:
+    owners = part.owners
+    if current is not None:
+        owners = section_from_data(current.data, edit.section).owners
+    if edit.operator not in owners:
+        raise NotOwner(
+            f"{edit.operator} does not own section {edit.section}; owners: {', '.join(owners)}"
+        )
+
+
+async def _check_base(table: TableStore, edit: Edit, head: Head, current: Revision | None) -> None:
+    version = head.version_by_section.get(edit.section, 0)
+    if version == edit.base:
+        return
+    base = await read_revision(table, edit.section, edit.base) if edit.base else None
+    difference = _three_way(base.text if base else "", current.text if current else "", edit)
+    raise AcceptConflict(
+        f"section {edit.section} is at version {version}, your edit started from {edit.base}",
+        difference,
+    )
+
+
+def _three_way(base: str, theirs: str, edit: Edit) -> str:
+    def diff(to: str, name: str) -> list[str]:
+        return list(
+            difflib.unified_diff(
+                base.splitlines(), to.splitlines(), f"version {edit.base}", name, lineterm=""
+            )
+        )
+
+    their_change = diff(theirs, "theirs")
+    your_change = diff(edit.text, "yours")
+    return "\n".join(["The other change:", *their_change, "Your change:", *your_change])
+
+
+def _check_whole(edit: Edit, part: SectionPart, current: dict[SectionName, Revision]) -> Document:
+    parts = {
+        name: section_from_data(revision.data, name)
+        for name, revision in current.items()
+        if name != edit.section
+    }
+    return check_document({**parts, edit.section: part})
--- /dev/null
+++ b/peridottrack/slowness.py
@@ -0,0 +1,65 @@
+"""Feels whether this host runs slow right now, at no cost to the network.
+
+A node shares its host with the upstream and with the same noisy neighbours. Its own timer that
+fires late, and an upstream's report, tell of a squeeze within milliseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SAMPLE_S = 0.01
+LATE_S = 0.006
+LATE_SAMPLES_TO_TELL = 2
+WELL_SAMPLES_TO_TELL = 4
+SLOW_FACTOR = 3.0
+VALID_S = 0.12
+RENEW_S = 0.06
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A change worth telling.
+
+    Parameters
+    ----------
+    factor
+        How much longer work takes; 1.0 when well again.
+    """
+
+    factor: float
+
+
+class SlownessDetector:
+    """Turns samples of lateness into words "slow" and "well", told on change.
+
+    While slow, the word is renewed every `RENEW_S`, since it counts for `VALID_S` only.
+    """
+
+    def __init__(self) -> None:
+        self._late_in_a_row = 0
+        self._well_in_a_row = 0
+        self._told_at = float("-inf")
+        self.factor = 1.0
+
+    def sample(self, late_s: float, now: float) -> Verdict | None:
+        """Take in how late a timer fired; return what to tell, None for nothing."""
+        if late_s >= LATE_S:
+            self._late_in_a_row += 1
+            self._well_in_a_row = 0
+        else:
+            self._well_in_a_row += 1
+            self._late_in_a_row = 0
+        if self.factor <= 1.0:
+            return self._begin(now) if self._late_in_a_row >= LATE_SAMPLES_TO_TELL else None
+        if self._well_in_a_row >= WELL_SAMPLES_TO_TELL:
+            self.factor = 1.0
+            return Verdict(1.0)
+        if now - self._told_at >= RENEW_S:
+            return self._begin(now)
+        return None
+
+    def _begin(self, now: float) -> Verdict:
+        self.factor = SLOW_FACTOR
+        self._told_at = now
+        return Verdict(self.factor)
--- /dev/null
+++ b/peridottrack/standin/deployments.py
@@ -0,0 +1,172 @@
+"""The brief's two deployments, as data: services, sizes, failure domains, documents."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from peridottrack.config import Settings
+from peridottrack.types import FailureDomain, Region, ServiceName
+
+MESSAGE_KEY = "stand-in key, not secret"
+HOST = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes of one deployment.
+
+    Parameters
+    ----------
+    read_paths, order_paths
+        Paths of idempotent reads and of keyed orders.
+    section_text_by_name
+        The document.
+    """
+
+    name: str
+    region: Region
+    domains: tuple[FailureDomain, ...]
+    services: tuple[ServiceName, ...]
+    instances: int
+    slots: int
+    connections: int
+    read_paths: tuple[str, ...]
+    order_paths: tuple[str, ...]
+    section_text_by_name: dict[str, str]
+
+
+def _section(owner: str, service: str, *routes: dict[str, Any]) -> str:
+    part = {
+        "owners": [owner],
+        "services": {service: {"ramp_s": 1}},
+        "routes": [{"service": service, **route} for route in routes],
+    }
+    return json.dumps(part, indent=2) + "\n"
+
+
+def _read(path: str) -> dict[str, Any]:
+    return {"path": path, "methods": ["GET", "HEAD"], "deadline_ms": 3_000}
+
+
+def _order(path: str) -> dict[str, Any]:
+    return {
+        "path": path,
+        "methods": ["POST"],
+        "deadline_ms": 6_000,
+        "key": "required",
+        "priority": 0,
+    }
+
+
+BUZULIP = Deployment(
+    "buzulip",
+    Region("tr-east"),
+    tuple(FailureDomain(f"tr-east-{letter}") for letter in "abc"),
+    tuple(ServiceName(name) for name in ("katalog", "siparis", "sertifika", "parti")),
+    instances=3,
+    slots=18,
+    connections=240,
+    read_paths=("/katalog/ip-9", "/siparis/mine", "/sertifika/77", "/parti/2026-11"),
+    order_paths=("/siparis/orders", "/siparis/reservations"),
+    section_text_by_name={
+        "stock": _section("stock-team", "katalog", _read("/katalog")),
+        "ordering": _section(
+            "order-team",
+            "siparis",
+            _read("/siparis"),
+            _order("/siparis/orders"),
+            _order("/siparis/reservations"),
+        ),
+        "certificates": _section("records-team", "sertifika", _read("/sertifika")),
+        "records": _section("records-team", "parti", _read("/parti")),
+    },
+)
+
+KAROO = Deployment(
+    "karoo",
+    Region("za-north"),
+    tuple(FailureDomain(f"za-north-{number}") for number in range(1, 5)),
+    tuple(ServiceName(name) for name in ("catalogue", "orders", "proofing", "history")),
+    instances=4,
+    slots=12,
+    connections=240,
+    read_paths=("/catalogue/flights", "/orders/mine", "/proofing/12", "/history/2026"),
+    order_paths=("/orders/print", "/orders/charges"),
+    section_text_by_name={
+        "catalogue": _section("catalogue-team", "catalogue", _read("/catalogue")),
+        "ordering": _section(
+            "order-team",
+            "orders",
+            _read("/orders"),
+            _order("/orders/print"),
+            _order("/orders/charges"),
+        ),
+        "proofing": _section("proof-team", "proofing", _read("/proofing")),
+        "history": _section("records-team", "history", _read("/history")),
+    },
+)
+
+DEPLOYMENT_BY_NAME = {deployment.name: deployment for deployment in (BUZULIP, KAROO)}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing on this host listens on, neither by TCP nor by UDP."""
+    held = []
+    ports: list[int] = []
+    while len(ports) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind((HOST, 0))
+        held.append(stream)
+        port = stream.getsockname()[1]
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held.append(datagram)
+        try:
+            datagram.bind((HOST, port))
+        except OSError:
+            continue
+        ports.append(port)
+    for item in held:
+        item.close()
+    return ports
+
+
+def node_settings(
+    deployment: Deployment,
+    domain: FailureDomain,
+    platform_url: str,
+    ports: list[int],
+    **changes: Any,
+) -> Settings:
+    """Return the settings of one node on loopback.
+
+    Parameters
+    ----------
+    ports
+        For callers, admin, announce and gossip, in this order.
+    """
+    callers, admin, announce, gossip = ports
+    fields: dict[str, Any] = {
+        "callers_address": f"{HOST}:{callers}",
+        "admin_address": f"{HOST}:{admin}",
+        "announce_address": f"{HOST}:{announce}",
+        "gossip_address": f"{HOST}:{gossip}",
+        "failure_domain": domain,
+        "region": deployment.region,
+        "table_url": platform_url,
+        "object_url": platform_url,
+        "message_keys": [MESSAGE_KEY],
+        "document_poll_s": 1.0,
+        **changes,
+    }
+    return Settings.model_validate(fields)
+
+
+def places(deployment: Deployment) -> Iterator[tuple[ServiceName, FailureDomain, int]]:
+    """Yield service, failure domain and number of each instance."""
+    for service in deployment.services:
+        for number in range(deployment.instances):
+            yield service, deployment.domains[number % len(deployment.domains)], number
--- /dev/null
+++ b/peridottrack/standin/memory.py
@@ -0,0 +1,144 @@
+"""The platform's table service and object store, kept in memory, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+from collections.abc import Sequence
+
+from peridottrack.standin.faults import (
+    LATE_S,
+    SLOW_S,
+    WRITE_MAY_LAND,
+    Fault,
+    FaultPlan,
+    before_read,
+)
+from peridottrack.types import (
+    ABSENT,
+    Page,
+    Row,
+    RowKey,
+    Write,
+    WriteAction,
+    WriteOutcome,
+    WriterId,
+)
+
+TRANSACTION_MAX_WRITES = 100
+
+
+class MemoryTable:
+    """A transactional table, serializable because a transaction never awaits midway."""
+
+    def __init__(self, faults: FaultPlan | None = None) -> None:
+        self.faults = faults or FaultPlan()
+        self.reads = 0
+        self.writes = 0
+        self._row_by_key: dict[RowKey, Row] = {}
+        self._sorts_by_partition: dict[str, list[str]] = {}
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def get(self, key: RowKey) -> Row | None:
+        """Read one row."""
+        self.reads += 1
+        await before_read(self.faults.next())
+        return self._row_by_key.get(key)
+
+    async def query(self, partition: str, after: str | None = None, limit: int = 100) -> Page:
+        """Read rows of a partition in order."""
+        self.reads += 1
+        await before_read(self.faults.next())
+        sorts = self._sorts_by_partition.get(partition, [])
+        start = bisect.bisect_right(sorts, after) if after is not None else 0
+        chosen = sorts[start : start + limit]
+        more = start + limit < len(sorts)
+        rows = [self._row_by_key[RowKey(partition, sort)] for sort in chosen]
+        return Page(rows, chosen[-1] if more else None)
+
+    async def transact(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
+        """Apply all writes or none, unless a fault is due."""
+        if len(writes) > TRANSACTION_MAX_WRITES:
+            raise ValueError(f"more than {TRANSACTION_MAX_WRITES} writes in a transaction")
+        self.writes += sum(write.action is not WriteAction.CHECK for write in writes)
+        fault = self.faults.next()
+        if fault in (Fault.DOWN, Fault.THROTTLED):
+            return WriteOutcome.REFUSED
+        if fault is Fault.SLOW:
+            await asyncio.sleep(SLOW_S)
+        if fault is Fault.LATE:
+            self._apply_later(writes, writer)
+        if fault is Fault.LOST_BEFORE or fault is Fault.LATE:
+            return WriteOutcome.UNKNOWN
+        outcome = self.apply(writes, writer)
+        return WriteOutcome.UNKNOWN if fault in WRITE_MAY_LAND else outcome
+
+    def apply(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
+        """Apply a transaction at once, without faults."""
+        if any(self._version(write.key) != write.expected for write in writes):
+            return WriteOutcome.CONFLICT
+        for write in writes:
+            self._apply_one(write, writer)
+        return WriteOutcome.APPLIED
+
+    def _version(self, key: RowKey) -> int:
+        row = self._row_by_key.get(key)
+        return row.version if row else ABSENT
+
+    def _apply_one(self, write: Write, writer: WriterId) -> None:
+        if write.action is WriteAction.CHECK:
+            return
+        sorts = self._sorts_by_partition.setdefault(write.key.partition, [])
+        if write.action is WriteAction.DELETE:
+            del self._row_by_key[write.key]
+            sorts.remove(write.key.sort)
+            return
+        if write.key not in self._row_by_key:
+            bisect.insort(sorts, write.key.sort)
+        row = Row(write.key, write.value, write.expected + 1, writer)
+        self._row_by_key[write.key] = row
+
+    def _apply_later(self, writes: Sequence[Write], writer: WriterId) -> None:
+        async def land() -> None:
+            await asyncio.sleep(LATE_S)
+            self.apply(writes, writer)
+
+        task = asyncio.get_running_loop().create_task(land())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+class MemoryObjects:
+    """An object store whose objects never change once put."""
+
+    def __init__(self, faults: FaultPlan | None = None) -> None:
+        self.faults = faults or FaultPlan()
+        self._body_by_name: dict[str, bytes] = {}
+
+    async def put_if_absent(self, name: str, body: bytes) -> WriteOutcome:
+        """Store an object unless the name is taken."""
+        fault = self.faults.next()
+        if fault in (Fault.DOWN, Fault.THROTTLED):
+            return WriteOutcome.REFUSED
+        if fault is Fault.LOST_BEFORE:
+            return WriteOutcome.UNKNOWN
+        if name in self._body_by_name:
+            return WriteOutcome.CONFLICT
+        self._body_by_name[name] = body
+        return WriteOutcome.UNKNOWN if fault in WRITE_MAY_LAND else WriteOutcome.APPLIED
+
+    async def get(self, name: str) -> bytes | None:
+        """Read an object."""
+        await before_read(self.faults.next())
+        return self._body_by_name.get(name)
+
+    async def list(self, prefix: str, after: str | None = None, limit: int = 100) -> Sequence[str]:
+        """List names in order, past ``after``."""
+        await before_read(self.faults.next())
+        names = sorted(name for name in self._body_by_name if name.startswith(prefix))
+        return [name for name in names if after is None or name > after][:limit]
+
+    async def delete(self, name: str) -> None:
+        """Delete an object."""
+        await before_read(self.faults.next())
+        self._body_by_name.pop(name, None)
--- /dev/null
+++ b/peridottrack/store.py
@@ -0,0 +1,242 @@
+"""What stands between the product and the platform's table: a circuit breaker and settling.
+
+The breaker keeps a store that is down from being stormed when it returns; settling turns an
+unknown write into a known one by the writer's unique id.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeVar
+
+from peridottrack.exceptions import StoreUnavailable
+from peridottrack.metrics import Metrics
+from peridottrack.types import (
+    Clock,
+    Page,
+    Random,
+    Row,
+    RowKey,
+    TableStore,
+    Write,
+    WriteAction,
+    WriteOutcome,
+    WriterId,
+)
+
+T = TypeVar("T")
+
+MAX_CONCURRENT_CALLS = 64
+FAILURES_TO_OPEN = 3
+OPEN_MIN_S = 0.25
+OPEN_MAX_S = 2.0
+SETTLE_ATTEMPTS = 3
+SETTLE_PAUSE_S = 0.1
+
+
+def new_writer() -> WriterId:
+    """Return an id that no other write bears."""
+    return WriterId(secrets.token_hex(12))
+
+
+async def scan(table: TableStore, partition: str, after: str | None = None) -> AsyncIterator[Row]:
+    """Read all rows of a partition past ``after``, page by page.
+
+    Raises
+    ------
+    StoreUnavailable
+        If the table does not answer.
+    """
+    while True:
+        page = await table.query(partition, after)
+        for row in page.rows:
+            yield row
+        if page.after is None:
+            return
+        after = page.after
+
+
+class BreakerState(Enum):
+    """Whether calls go through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class Breaker:
+    """A circuit breaker: opens after failures in a row, then lets one trial through."""
+
+    def __init__(self, clock: Clock, rng: Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self.state = BreakerState.CLOSED
+        self._failures = 0
+        self._open_s = OPEN_MIN_S
+        self._until = 0.0
+
+    def allows(self) -> bool:
+        """Ask to make a call; in the half-open state only one caller is told yes."""
+        if self.state is BreakerState.CLOSED:
+            return True
+        if self.state is BreakerState.OPEN and self._clock.now() >= self._until:
+            self.state = BreakerState.HALF_OPEN
+            return True
+        return False
+
+    def succeeded(self) -> None:
+        """Note that a call was answered."""
+        self.state = BreakerState.CLOSED
+        self._failures = 0
+        self._open_s = OPEN_MIN_S
+
+    def failed(self) -> None:
+        """Note that a call was not answered."""
+        self._failures += 1
+        if self.state is BreakerState.HALF_OPEN:
+            self._open_s = min(OPEN_MAX_S, self._open_s * 2)
+        if self.state is BreakerState.HALF_OPEN or self._failures >= FAILURES_TO_OPEN:
+            self.state = BreakerState.OPEN
+            # Jitter keeps the nodes from trying all at the same moment.
+            self._until = self._clock.now() + self._open_s * (0.5 + self._rng.random())
+
+    def abandoned(self) -> None:
+        """Note that a call was given up by its caller, which says nothing of the store."""
+        if self.state is BreakerState.HALF_OPEN:
+            self.state = BreakerState.OPEN
+
+
+class GuardedTable:
+    """A `TableStore` behind a circuit breaker and a bound on concurrent calls."""
+
+    def __init__(
+        self, table: TableStore, clock: Clock, metrics: Metrics, rng: Random | None = None
+    ) -> None:
+        self._table = table
+        self._metrics = metrics
+        self.breaker = Breaker(clock, rng or random.Random())
+        self._running = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
+
+    async def get(self, key: RowKey) -> Row | None:
+        """Read one row, or raise at once while the breaker is open."""
+        return await self._read("get", lambda: self._table.get(key))
+
+    async def query(self, partition: str, after: str | None = None, limit: int = 100) -> Page:
+        """Read rows of a partition, or raise at once while the breaker is open."""
+        return await self._read("query", lambda: self._table.query(partition, after, limit))
+
+    async def transact(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
+        """Apply a transaction, or refuse at once while the breaker is open."""
+        if not self.breaker.allows():
+            return self._count("transact", WriteOutcome.REFUSED)
+        async with self._running:
+            try:
+                outcome = await self._table.transact(writes, writer)
+            except BaseException:
+                self.breaker.abandoned()
+                raise
+        if outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
+            self.breaker.succeeded()
+        else:
+            self.breaker.failed()
+        return self._count("transact", outcome)
+
+    async def _read(self, operation: str, call: Callable[[], Awaitable[T]]) -> T:
+        if not self.breaker.allows():
+            self._metrics.store_calls.labels(operation, "withheld").inc()
+            raise StoreUnavailable("circuit breaker is open")
+        async with self._running:
+            try:
+                result = await call()
+            except StoreUnavailable:
+                self.breaker.failed()
+                self._metrics.store_calls.labels(operation, "failed").inc()
+                raise
+            except BaseException:
+                self.breaker.abandoned()
+                raise
+        self.breaker.succeeded()
+        self._metrics.store_calls.labels(operation, "ok").inc()
+        return result
+
+    def _count(self, operation: str, outcome: WriteOutcome) -> WriteOutcome:
+        self._metrics.store_calls.labels(operation, outcome.value).inc()
+        return outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """The result of a write after its doubt was cleared as far as possible.
+
+    Parameters
+    ----------
+    row
+        The row that stands in the way, for ``CONFLICT``, if it was read.
+    """
+
+    outcome: WriteOutcome
+    row: Row | None = None
+
+
+async def transact_settled(
+    table: TableStore, writes: Sequence[Write], proof: RowKey, writer: WriterId
+) -> Settled:
+    """Apply a transaction and settle an unknown result.
+
+    The same transaction is sent again under the same writer id until the proof row tells who
+    won. That is safe because its conditions let it apply once at most, also if an earlier try
+    lands late. ``UNKNOWN`` is returned only if the store stays silent.
+
+    Parameters
+    ----------
+    proof
+        A row put by the transaction that nobody else overwrites before the result is read.
+    """
+    in_doubt = False
+    for attempt in range(SETTLE_ATTEMPTS):
+        if attempt:
+            await asyncio.sleep(SETTLE_PAUSE_S * attempt)
+        outcome = await table.transact(writes, writer)
+        if outcome is WriteOutcome.APPLIED:
+            return Settled(outcome)
+        if outcome is WriteOutcome.REFUSED and not in_doubt:
+            return Settled(outcome)
+        if outcome is WriteOutcome.CONFLICT:
+            return await _settle_conflict(table, proof, writer, in_doubt)
+        in_doubt = True
+    return await _settle_silence(table, proof, writer)
+
+
+async def put_settled(
+    table: TableStore, key: RowKey, expected: int, value: bytes, writer: WriterId
+) -> Settled:
+    """Put one row that only its writer changes, and settle an unknown result."""
+    write = Write(WriteAction.PUT, key, expected, value)
+    return await transact_settled(table, [write], key, writer)
+
+
+async def _settle_conflict(
+    table: TableStore, proof: RowKey, writer: WriterId, in_doubt: bool
+) -> Settled:
+    try:
+        row = await table.get(proof)
+    except StoreUnavailable:
+        return Settled(WriteOutcome.UNKNOWN if in_doubt else WriteOutcome.CONFLICT)
+    ours = row is not None and row.writer == writer
+    return Settled(WriteOutcome.APPLIED if ours else WriteOutcome.CONFLICT, row)
+
+
+async def _settle_silence(table: TableStore, proof: RowKey, writer: WriterId) -> Settled:
+    try:
+        row = await table.get(proof)
+    except StoreUnavailable:
+        return Settled(WriteOutcome.UNKNOWN)
+    if row is not None and row.writer == writer:
+        return Settled(WriteOutcome.APPLIED, row)
+    # The row does not bear our id yet, but a late write may still land.
+    return Settled(WriteOutcome.UNKNOWN, row)
--- /dev/null
+++ b/peridottrack/wire.py
@@ -0,0 +1,332 @@
+"""Codec and seal of datagrams between nodes.
+
+A datagram is a 16-byte keyed BLAKE2b code, the sender's start number and sequence number, and a
+packed Cap'n Proto message. The code covers the receiver's address too, so that a datagram can
+only be used where it was sent to.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import struct
+from collections.abc import Callable, Sequence
+from importlib import resources
+from ipaddress import ip_address
+from typing import Any
+
+import capnp
+
+from peridottrack.exceptions import DatagramRejected
+from peridottrack.messages import (
+    Ack,
+    Body,
+    Buckets,
+    Crash,
+    LoadEntry,
+    LoadReply,
+    LoadReport,
+    MemberState,
+    MemberUpdate,
+    Message,
+    Ping,
+    PingRequest,
+    Pull,
+    Rumor,
+    Slow,
+)
+from peridottrack.types import (
+    Endpoint,
+    FailureDomain,
+    Instance,
+    InstanceId,
+    InstanceState,
+    NodeId,
+    Region,
+    ServiceName,
+)
+
+capnp.remove_import_hook()
+with resources.as_file(resources.files("peridottrack") / "messages.capnp") as _path:
+    schema = capnp.load(str(_path))
+
+MAX_DATAGRAM_BYTES = 1_400
+CODE_BYTES = 16
+STAMP = struct.Struct(">QQ")
+REPLAY_WINDOW = 1_024
+READ_LIMIT_WORDS = 1 << 14
+HEADER_BYTES = 28
+
+INSTANCE_STATES = tuple(InstanceState)
+INDEX_BY_INSTANCE_STATE = {state: index for index, state in enumerate(INSTANCE_STATES)}
+
+
+def encode(message: Message) -> bytes:
+    """Return a message's bytes, not sealed."""
+    datagram = schema.Datagram.new_message()
+    _fill_address(datagram.sender, message.sender)
+    datagram.documentVersion = message.document_version
+    datagram.digest = message.digest
+    if message.updates:
+        target = datagram.init("updates", len(message.updates))
+        for index, update in enumerate(message.updates):
+            _fill_update(target[index], update)
+    _FILL_BY_TYPE[type(message.body)](datagram, message.body)
+    return datagram.to_bytes_packed()
+
+
+def decode(data: bytes) -> Message:
+    """Read a message.
+
+    Raises
+    ------
+    DatagramRejected
+        If the bytes are not a message.
+    """
+    try:
+        datagram = schema.Datagram.from_bytes_packed(
+            data, traversal_limit_in_words=READ_LIMIT_WORDS
+        )
+        return Message(
+            _read_address(datagram.sender),
+            _READ_BY_NAME[str(datagram.which())](datagram),
+            datagram.documentVersion,
+            datagram.digest,
+            tuple(_read_update(update) for update in datagram.updates),
+        )
+    except (capnp.KjException, ValueError, KeyError, IndexError) as error:
+        raise DatagramRejected("undecodable") from error
+
+
+class Sealer:
+    """Seals datagrams of one node and opens those of others.
+
+    Parameters
+    ----------
+    keys
+        The first one seals; all open, so that keys can be replaced one at a time.
+    start
+        Number of this process's start; a later start must have a higher one.
+    """
+
+    def __init__(self, keys: Sequence[str], me: NodeId, start: int) -> None:
+        self._keys = [hashlib.blake2b(key.encode(), digest_size=32).digest() for key in keys]
+        self._me = me
+        self._start = start
+        self._sequence = 0
+        self._seen_by_sender: dict[NodeId, _Seen] = {}
+
+    def seal(self, receiver: NodeId, message: Message) -> bytes:
+        """Return the datagram of a message."""
+        self._sequence += 1
+        payload = STAMP.pack(self._start, self._sequence) + encode(message)
+        return _code(self._keys[0], receiver, payload) + payload
+
+    def open(self, data: bytes) -> Message:
+        """Check and read a datagram.
+
+        Raises
+        ------
+        DatagramRejected
+            With the reason: ``size``, ``key``, ``undecodable`` or ``replay``.
+        """
+        if not CODE_BYTES + STAMP.size < len(data) <= MAX_DATAGRAM_BYTES:
+            raise DatagramRejected("size")
+        code, payload = data[:CODE_BYTES], data[CODE_BYTES:]
+        if not any(hmac.compare_digest(code, _code(key, self._me, payload)) for key in self._keys):
+            raise DatagramRejected("key")
+        start, sequence = STAMP.unpack_from(payload)
+        message = decode(payload[STAMP.size :])
+        seen = self._seen_by_sender.setdefault(message.sender, _Seen())
+        if not seen.accepts(start, sequence):
+            raise DatagramRejected("replay")
+        return message
+
+    def forget(self, sender: NodeId) -> None:
+        """Drop what is kept of a node that is gone for good."""
+        self._seen_by_sender.pop(sender, None)
+
+
+class _Seen:
+    """Which sequence numbers of one sender came already, as a sliding bit window."""
+
+    __slots__ = ("start", "highest", "bits")
+
+    def __init__(self) -> None:
+        self.start = 0
+        self.highest = 0
+        self.bits = 0
+
+    def accepts(self, start: int, sequence: int) -> bool:
+        if start < self.start:
+            return False
+        if start > self.start:
+            self.start, self.highest, self.bits = start, 0, 0
+        if sequence > self.highest:
+            shift = sequence - self.highest
+            self.bits = ((self.bits << shift) | 1) & ((1 << REPLAY_WINDOW) - 1)
+            self.highest = sequence
+            return True
+        bit = 1 << (self.highest - sequence)
+        if self.highest - sequence >= REPLAY_WINDOW or self.bits & bit:
+            return False
+        self.bits |= bit
+        return True
+
+
+def _code(key: bytes, receiver: NodeId, payload: bytes) -> bytes:
+    digest = hashlib.blake2b(receiver.encode(), key=key, digest_size=CODE_BYTES)
+    digest.update(payload)
+    return digest.digest()
+
+
+def _fill_address(target: Any, node: NodeId) -> None:
+    host, _, port = node.rpartition(":")
+    target.ip = ip_address(host).packed
+    target.port = int(port)
+
+
+def _read_address(source: Any) -> NodeId:
+    return NodeId(f"{ip_address(bytes(source.ip))}:{source.port}")
+
+
+def _fill_update(target: Any, update: MemberUpdate) -> None:
+    _fill_address(target.node, update.node)
+    target.incarnation = update.incarnation
+    target.state = update.state.value
+    target.adminPort = update.admin.port
+    target.domain = update.domain
+    target.region = update.region
+    instances = target.init("instances", len(update.instances))
+    for index, instance in enumerate(update.instances):
+        _fill_instance(instances[index], instance)
+
+
+def _read_update(source: Any) -> MemberUpdate:
+    node = _read_address(source.node)
+    domain = FailureDomain(source.domain)
+    return MemberUpdate(
+        node,
+        source.incarnation,
+        MemberState(source.state),
+        # A node has one IP number; only the ports differ.
+        Endpoint(node.rpartition(":")[0], source.adminPort),
+        domain,
+        Region(source.region),
+        tuple(_read_instance(instance, domain) for instance in source.instances),
+    )
+
+
+def _fill_instance(target: Any, instance: Instance) -> None:
+    target.id = instance.instance_id
+    target.service = instance.service
+    target.ip = ip_address(instance.endpoint.host).packed
+    target.port = instance.endpoint.port
+    target.slots = instance.slots
+    target.connections = instance.connections
+    target.state = INDEX_BY_INSTANCE_STATE[instance.state]
+
+
+def _read_instance(source: Any, domain: FailureDomain) -> Instance:
+    return Instance(
+        InstanceId(source.id),
+        ServiceName(source.service),
+        Endpoint(str(ip_address(bytes(source.ip))), source.port),
+        source.slots,
+        source.connections,
+        domain,
+        INSTANCE_STATES[source.state],
+    )
+
+
+def _fill_rumor(datagram: Any, body: Body) -> None:
+    datagram.rumor = None
+
+
+def _fill_ping(datagram: Any, body: Ping) -> None:
+    datagram.ping = body.number
+
+
+def _fill_ack(datagram: Any, body: Ack) -> None:
+    datagram.ack = body.number
+
+
+def _fill_ping_request(datagram: Any, body: PingRequest) -> None:
+    group = datagram.init("pingRequest")
+    group.number = body.number
+    _fill_address(group.init("target"), body.target)
+
+
+def _fill_buckets(datagram: Any, body: Buckets) -> None:
+    datagram.buckets = list(body.digests)
+
+
+def _fill_pull(datagram: Any, body: Pull) -> None:
+    datagram.pull = list(body.buckets)
+
+
+def _fill_load(name: str) -> Callable[[Any, Any], None]:
+    def fill(datagram: Any, body: LoadReport | LoadReply) -> None:
+        entries = datagram.init(name, len(body.entries))
+        for index, entry in enumerate(body.entries):
+            entries[index].instance = entry.instance
+            entries[index].inFlight = entry.in_flight
+            entries[index].senders = entry.senders
+
+    return fill
+
+
+def _fill_slow(datagram: Any, body: Slow) -> None:
+    group = datagram.init("slow")
+    group.instance = body.instance
+    group.factorPercent = round(body.factor * 100)
+    group.validMs = body.valid_ms
+    group.number = body.number
+
+
+def _fill_crash(datagram: Any, body: Crash) -> None:
+    group = datagram.init("crash")
+    group.fingerprint = body.fingerprint
+    group.instance = body.instance
+
+
+def _read_entries(entries: Any) -> tuple[LoadEntry, ...]:
+    return tuple(
+        LoadEntry(InstanceId(entry.instance), entry.inFlight, entry.senders) for entry in entries
+    )
+
+
+def _read_slow(datagram: Any) -> Slow:
+    group = datagram.slow
+    return Slow(InstanceId(group.instance), group.factorPercent / 100, group.validMs, group.number)
+
+
+_FILL_BY_TYPE: dict[type, Callable[[Any, Any], None]] = {
+    Rumor: _fill_rumor,
+    Ping: _fill_ping,
+    Ack: _fill_ack,
+    PingRequest: _fill_ping_request,
+    Buckets: _fill_buckets,
+    Pull: _fill_pull,
+    LoadReport: _fill_load("loadReport"),
+    LoadReply: _fill_load("loadReply"),
+    Slow: _fill_slow,
+    Crash: _fill_crash,
+}
+
+_READ_BY_NAME: dict[str, Callable[[Any], Body]] = {
+    "rumor": lambda datagram: Rumor(),
+    "ping": lambda datagram: Ping(datagram.ping),
+    "ack": lambda datagram: Ack(datagram.ack),
+    "pingRequest": lambda datagram: PingRequest(
+        datagram.pingRequest.number, _read_address(datagram.pingRequest.target)
+    ),
+    "buckets": lambda datagram: Buckets(tuple(datagram.buckets)),
+    "pull": lambda datagram: Pull(tuple(datagram.pull)),
+    "loadReport": lambda datagram: LoadReport(_read_entries(datagram.loadReport)),
+    "loadReply": lambda datagram: LoadReply(_read_entries(datagram.loadReply)),
+    "slow": _read_slow,
+    "crash": lambda datagram: Crash(
+        datagram.crash.fingerprint, InstanceId(datagram.crash.instance)
+    ),
+}
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,53 @@
+"""Shared fixtures."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+
+import aiohttp
+import pytest
+
+from peridottrack.controllers.announce import Announcement
+from peridottrack.standin.cluster import Cluster, Pair
+from peridottrack.standin.deployments import BUZULIP
+from peridottrack.types import InstanceId, ServiceName
+
+SMALL = replace(
+    BUZULIP,
+    services=(ServiceName("siparis"),),
+    section_text_by_name={"ordering": BUZULIP.section_text_by_name["ordering"]},
+)
+
+
+@dataclass
+class Harness:
+    """A cluster and a caller's session."""
+
+    cluster: Cluster
+    session: aiohttp.ClientSession
+
+    def node(self, number: int = 0) -> Pair:
+        return self.cluster.pairs[number]
+
+    async def only_upstream(self, port: int) -> None:
+        """Make a raw server the only instance of the service, beside the first node."""
+        for pair in self.cluster.pairs:
+            await pair.upstream.stop()
+        said = Announcement(service="siparis", port=port, slots=18, connections=240)
+        self.node().node.announce.announce(InstanceId("raw"), said)
+        # Renewals come from nobody, so the lease must outlive the test.
+        self.node().node.announce.local_by_id[InstanceId("raw")].renewed_at += 1_000
+        service = self.node().node.load.service_by_name[ServiceName("siparis")]
+        async with asyncio.timeout(10):
+            while service.balancer.view_by_id.keys() != {"raw"}:
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def harness():
+    cluster = Cluster(SMALL, service_s=0.002)
+    await cluster.start()
+    async with aiohttp.ClientSession() as session:
+        yield Harness(cluster, session)
+    await cluster.stop()
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,68 @@
+"""Shared helpers: settings, records and small fakes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from peridottrack.config import Settings
+from peridottrack.messages import MemberState, MemberUpdate
+from peridottrack.standin.deployments import BUZULIP, node_settings
+from peridottrack.types import (
+    Endpoint,
+    FailureDomain,
+    Instance,
+    InstanceId,
+    NodeId,
+    Region,
+    ServiceName,
+)
+
+RawHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def make_instance(number: int, service: str = "katalog", domain: str = "a", slots: int = 18):
+    return Instance(
+        InstanceId(f"{service}-{number}"),
+        ServiceName(service),
+        Endpoint("127.0.0.1", 9_000 + number),
+        slots,
+        240,
+        FailureDomain(domain),
+    )
+
+
+def make_update(number: int, incarnation: int = 1, state: MemberState = MemberState.ALIVE):
+    host = f"10.0.{number // 250}.{number % 250 + 1}"
+    return MemberUpdate(
+        NodeId(f"{host}:7000"),
+        incarnation,
+        state,
+        Endpoint(host, 7001),
+        FailureDomain(f"d{number % 7}"),
+        Region(f"r{number % 2}"),
+    )
+
+
+def make_settings(platform_url: str, ports: list[int], **changes) -> Settings:
+    return node_settings(BUZULIP, BUZULIP.domains[0], platform_url, ports, **changes)
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Read a request's head and a body with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            await reader.readexactly(int(line.split(b":")[1]))
+    return head
+
+
+async def raw_exchange(host: str, port: int, data: bytes) -> bytes:
+    """Send bytes and read until the other side closes."""
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(data)
+    await writer.drain()
+    try:
+        return await asyncio.wait_for(reader.read(), 10)
+    finally:
+        writer.close()
