--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,99 @@
+"""Starts the program's processes for a benchmark and ends just those."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import aiohttp
+import psutil
+
+from peridottrack.config import Settings
+from peridottrack.platform_http import HttpTable
+from peridottrack.revisions import Edit, accept
+from peridottrack.standin.deployments import HOST, Deployment
+from peridottrack.types import SectionName
+
+STOP_S = 10.0
+READY_S = 15.0
+MIB = 1 << 20
+
+
+@contextmanager
+def program(*arguments: str) -> Iterator[psutil.Process]:
+    """Run ``peridottrack`` with arguments until the block ends."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "peridottrack", *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield psutil.Process(process.pid)
+    finally:
+        process.terminate()
+        try:
+            process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+@contextmanager
+def node_program(settings: Settings) -> Iterator[psutil.Process]:
+    """Run a node with these settings until the block ends."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.json"
+        path.write_text(json.dumps(settings.model_dump()))
+        with program("node", "--settings", str(path)) as process:
+            yield process
+
+
+async def accept_document(platform_url: str, deployment: Deployment) -> None:
+    """Accept a deployment's sections once the platform answers."""
+    async with aiohttp.ClientSession() as session:
+        table = HttpTable(session, platform_url, "peridottrack", 5.0)
+        await until_answered(session, platform_url + "/peridottrack")
+        for name, text in deployment.section_text_by_name.items():
+            owner = json.loads(text)["owners"][0]
+            await accept(table, Edit(SectionName(name), 0, text, owner, 0.0))
+
+
+async def until_answered(session: aiohttp.ClientSession, url: str, status: int = 200) -> None:
+    """Ask until a URL answers with a status."""
+    async with asyncio.timeout(READY_S):
+        while True:
+            try:
+                async with session.get(url) as answer:
+                    if answer.status == status:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+def resident_mib(process: psutil.Process) -> float:
+    """Return a process's resident memory."""
+    return process.memory_info().rss / MIB
+
+
+def cpu_s(process: psutil.Process) -> float:
+    """Return the processor time that a process has used."""
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+__all__ = [
+    "HOST",
+    "accept_document",
+    "cpu_s",
+    "node_program",
+    "program",
+    "resident_mib",
+    "until_answered",
+]
--- a/peridottrack/admin.py
+++ b/peridottrack/admin.py
@@ -23,17 +23,23 @@
 
 
 def admin_app(
-    metrics: Metrics, document: DocumentController, dump_by_topic: Mapping[str, Dump]
+    metrics: Metrics,
+    document: DocumentController,
+    dump_by_topic: Mapping[str, Dump],
+    collect: Callable[[], None],
 ) -> web.Application:
     """Build the application of the admin address.
 
     Parameters
     ----------
+    collect
+        Called before metrics are read, to set gauges.
     dump_by_topic
         Parts of the state dump, by controller.
     """
 
     async def get_metrics(request: web.Request) -> web.Response:
+        collect()
         return web.Response(body=metrics.text(), content_type="text/plain")
 
     async def get_dump(request: web.Request) -> web.Response:
--- a/peridottrack/balancer.py
+++ b/peridottrack/balancer.py
@@ -8,16 +8,16 @@
 
 import itertools
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from enum import Enum
 
 from peridottrack.document import ServicePart
 from peridottrack.ejection import EjectionState, ejections_allowed
 from peridottrack.retry import RetryBudget
 from peridottrack.signals import (
-    Concurrency,
+    Attempt,
     InstanceView,
     LatencyWindow,
+    Rate,
     SlowNews,
     new_view,
 )
@@ -26,13 +26,13 @@
 CANDIDATES = 4
 USUAL_LATENCY_S = 0.02
 STRAGGLER_FACTOR = 4.0
-STRAGGLER_AGE_FACTOR = 6.0
-AVOID_LOAD = 0.82
+AVOID_LOAD = 1.2
 HEDGE_LOAD_FULL = 0.55
 HEDGE_LOAD_NONE = 0.85
-HEDGE_QUANTILE = 0.94
 NEWS_MIN_SERVICE_S = 0.008
 QUEUE_WEIGHT = 1.0
+OLD_FACTOR = 2.0
+CENSORED_FACTOR = 2.0
 COLD_START_SHARE = 0.1
 
 
@@ -51,20 +51,6 @@
 FAILURES = frozenset({AttemptResult.ERROR, AttemptResult.UNREACHABLE, AttemptResult.TIMEOUT})
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One request on its way to one instance."""
-
-    number: int
-    view: InstanceView
-    started_at: float
-
-    @property
-    def instance(self) -> Instance:
-        """The instance that was chosen."""
-        return self.view.instance
-
-
 class Balancer:
     """Chooses instances of one service.
 
@@ -89,8 +75,7 @@
         self._domain = domain
         self._domain_cost_s = domain_cost_s
         self._numbers = itertools.count(1)
-        self._concurrency = Concurrency()
-        self._in_flight = 0
+        self._rate = Rate()
         self.part = part
         self.callers = 1
         self.budget = RetryBudget(part.retry_share, part.hedge_share)
@@ -142,24 +127,23 @@
         attempt = Attempt(next(self._numbers), view, now)
         view.in_flight += 1
         view.used = True
-        view.started_at_by_attempt[attempt.number] = now
+        view.attempt_by_number[attempt.number] = attempt
         view.ejection.started()
-        self._change_in_flight(1, now)
         return attempt
 
     def end(self, attempt: Attempt, result: AttemptResult) -> None:
         """Take in how an attempt ended."""
         now = self._clock.now()
         view = attempt.view
-        if view.started_at_by_attempt.pop(attempt.number, None) is None:
+        if view.attempt_by_number.pop(attempt.number, None) is None:
             return
-        self._change_in_flight(-1, now)
         latency_s = now - attempt.started_at
         if result is AttemptResult.OK:
             self._succeeded(view, latency_s, now)
         elif result is AttemptResult.SHED:
             view.limit.shed(now)
             view.ejection.abandoned()
+            view.pause_after_shed(now, self._rng)
         elif result in FAILURES:
             self._failed(view, now)
         else:
@@ -174,11 +158,11 @@
         load = self.load()
         if load >= HEDGE_LOAD_NONE or len(self.view_by_id) < 2:
             return None
-        wait_s = self.latencies.quantile(HEDGE_QUANTILE)
+        wait_s = self.latencies.unusual_s()
         if wait_s is None:
             return None
         if load > HEDGE_LOAD_FULL:
-            wait_s *= 1.0 + 2.0 * (load - HEDGE_LOAD_FULL) / (HEDGE_LOAD_NONE - HEDGE_LOAD_FULL)
+            wait_s *= 1.0 + (load - HEDGE_LOAD_FULL) / (HEDGE_LOAD_NONE - HEDGE_LOAD_FULL)
         return wait_s
 
     def may_hedge(self, tried: Collection[InstanceId]) -> bool:
@@ -186,6 +170,11 @@
         if self.load() >= HEDGE_LOAD_NONE:
             return False
         now = self._clock.now()
+        urgent = any(
+            view.slow.factor_at(now) > 1.0
+            for instance_id, view in self.view_by_id.items()
+            if instance_id in tried
+        )
         others = (
             view
             for view in self.view_by_id.values()
@@ -194,13 +183,17 @@
         # An instance known to be slow would not answer first.
         if not any(view.slow.factor_at(now) <= 1.0 for view in others):
             return False
-        return self.budget.take_hedge()
+        return self.budget.take_hedge(urgent)
 
     def hear_slow(self, instance: InstanceId, news: SlowNews) -> None:
         """Take in word that an instance runs slow, or is well again."""
         view = self.view_by_id.get(instance)
-        if view is not None and news.since >= view.slow.since:
-            view.slow = news
+        if view is None or news.since < view.slow.since:
+            return
+        was_slow = view.slow.factor_at(news.since) > 1.0
+        view.slow = news
+        if not was_slow and news.factor > 1.0:
+            self._hurry(view, news)
 
     def hear_load(self, instance: InstanceId, others_in_flight: float) -> None:
         """Take in how many requests of others an instance has in flight."""
@@ -217,8 +210,24 @@
             if view.ejection.state is not EjectionState.IN
         ]
 
+    def _hurry(self, view: InstanceView, news: SlowNews) -> None:
+        """Call back for requests that would now wait longer than a second one takes.
+
+        The youngest come first, since they have most of their work before them and hedges may
+        run out. One that is nearly done would gain nothing.
+        """
+        usual_s = self.usual_latency_s()
+        if usual_s < NEWS_MIN_SERVICE_S:
+            return
+        too_old = news.since - usual_s * (1.0 - 1.0 / news.factor)
+        for attempt in reversed(list(view.attempt_by_number.values())):
+            if attempt.started_at < too_old:
+                return
+            if attempt.on_slow is not None:
+                attempt.on_slow()
+
     def _has_room(self, view: InstanceView, now: float) -> bool:
-        if not view.ejection.allows(now):
+        if now < view.paused_until or not view.ejection.allows(now):
             return False
         return view.in_flight < self._limit_now(view, now)
 
@@ -256,6 +265,10 @@
 
     def _cost(self, view: InstanceView, usual_s: float, heed_news: bool, now: float) -> float:
         expected_s = view.latency_estimate_s(usual_s, now)
+        oldest_s = view.oldest_age_s(now)
+        if oldest_s > OLD_FACTOR * usual_s:
+            # A request that should have been answered long ago speaks before its answer does.
+            expected_s = max(expected_s, oldest_s)
         if heed_news:
             expected_s = max(expected_s, usual_s * view.slow.factor_at(now))
         slots = view.instance.slots
@@ -282,16 +295,18 @@
         )
         if not slots:
             return 1.0
-        return self._concurrency.value(now) * self.callers / slots
-
-    def _change_in_flight(self, change: int, now: float) -> None:
-        self._in_flight += change
-        self._concurrency.changed(self._in_flight, now)
+        # Calls a second times seconds a call are the slots that they need (Little's law). The
+        # median does not rise with each burst of slowness, as the number in flight would.
+        return self._rate.per_s(now) * self.usual_latency_s() * self.callers / slots
 
     def _succeeded(self, view: InstanceView, latency_s: float, now: float) -> None:
+        if view.ejection.state is EjectionState.TRIAL:
+            # What it was like before it was set aside must not decide about its return.
+            view.latency_s = None
         view.observe(latency_s, now)
         view.limit.succeeded(view.in_flight)
         self.latencies.add(latency_s)
+        self._rate.add(now)
         if self._is_straggler(view, now):
             self._eject_if_bounded(view, now)
         else:
@@ -303,9 +318,12 @@
 
     def _cancelled(self, view: InstanceView, latency_s: float, now: float) -> None:
         view.ejection.abandoned()
-        if view.latency_s is None or latency_s > view.latency_s:
-            # It would have taken longer still, so the estimate may only rise.
-            view.observe(latency_s, now)
+        # It would have taken longer still; how much is not known, so take it for twice as long.
+        at_least_s = CENSORED_FACTOR * latency_s
+        if latency_s > self.usual_latency_s() and at_least_s > (view.latency_s or 0.0):
+            view.observe(at_least_s, now)
+            if self._is_straggler(view, now):
+                self._eject_if_bounded(view, now)
 
     def _is_straggler(self, view: InstanceView, now: float) -> bool:
         if view.slow.factor_at(now) > 1.0 or view.latency_s is None:
@@ -321,7 +339,7 @@
 
     def _eject_if_bounded(self, view: InstanceView, now: float) -> None:
         out = sum(
-            other.ejection.state is EjectionState.OUT
+            other.ejection.state is not EjectionState.IN
             for other in self.view_by_id.values()
             if other is not view
         )
--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -9,9 +9,9 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from peridottrack.balancer import Attempt
 from peridottrack.document import RoutePart
 from peridottrack.errors import Ran
+from peridottrack.signals import Attempt
 from peridottrack.types import InstanceId, RequestId, ServiceName
 
 DEADLINE_HEADER = "Peridot-Deadline-Ms"
@@ -79,6 +79,8 @@
         Digest of method, path and body.
     reason
         Why this attempt is made: first, retry or hedge.
+    hurry
+        Set when the chosen instance is said to run slow; None if nobody waits for that.
     """
 
     request: web.BaseRequest
@@ -95,6 +97,7 @@
     reason: str = "first"
     progress: Progress = field(default_factory=Progress)
     chosen: Attempt | None = None
+    hurry: asyncio.Event | None = None
 
     @property
     def service(self) -> ServiceName:
--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -18,6 +18,7 @@
 from peridottrack import __version__, log
 from peridottrack.claims import TrailLine, record_for_trace, trail
 from peridottrack.config import Settings, load_settings, parse_endpoint
+from peridottrack.debug import quieten_garbage_collection
 from peridottrack.document import parse_document
 from peridottrack.exceptions import (
     AcceptConflict,
@@ -358,6 +359,7 @@
     running = Node(settings)
     stop = _stop_event()
     await running.start()
+    quieten_garbage_collection()
     await stop.wait()
     return await running.leave()
 
--- a/peridottrack/controllers/load.py
+++ b/peridottrack/controllers/load.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from peridottrack.balancer import Attempt, AttemptResult, Balancer
+from peridottrack.balancer import AttemptResult, Balancer
 from peridottrack.call import Call
 from peridottrack.document import Document, ServicePart
 from peridottrack.errors import ErrorKind
@@ -15,7 +15,7 @@
 from peridottrack.limiter import DeadlineQueue, Waiting
 from peridottrack.metrics import Metrics
 from peridottrack.retry import RetryBudget
-from peridottrack.signals import SlowNews
+from peridottrack.signals import Attempt, SlowNews
 from peridottrack.subset import choose_subset
 from peridottrack.types import (
     Clock,
@@ -174,11 +174,15 @@
         if state is not None:
             state.balancer.hear_slow(instance, news)
 
-    def wake_all(self) -> None:
+    def wake_waiting(self) -> None:
         """Serve queues whose room came without a release, such as after a set-aside ended."""
-        for name, service in self.service_by_name.items():
+        for service in self.service_by_name.values():
             if service.queue:
                 service.wake()
+
+    def collect_metrics(self) -> None:
+        """Set the gauges, when they are about to be read."""
+        for name, service in self.service_by_name.items():
             self._metrics.queued.labels(name).set(len(service.queue))
             self._metrics.set_aside.labels(name).set(len(service.balancer.set_aside()))
 
--- a/peridottrack/filters/choice.py
+++ b/peridottrack/filters/choice.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from peridottrack.balancer import Attempt, AttemptResult
+from peridottrack.balancer import AttemptResult
 from peridottrack.call import Answer, Call, Proceed
 from peridottrack.controllers.load import LoadController
 from peridottrack.errors import ErrorKind
 from peridottrack.exceptions import RequestError
+from peridottrack.signals import Attempt
 
 RESULT_BY_KIND = {
     ErrorKind.UPSTREAM_SHED: AttemptResult.SHED,
@@ -26,6 +27,8 @@
     async def __call__(self, call: Call, proceed: Proceed) -> Answer:
         """Choose, send, and tell the balancer how it ended."""
         call.chosen = attempt = await self._load.acquire(call)
+        if call.hurry is not None:
+            attempt.on_slow = call.hurry.set
         try:
             answer = await proceed(call)
         except RequestError as error:
--- a/peridottrack/filters/dispatch.py
+++ b/peridottrack/filters/dispatch.py
@@ -75,7 +75,7 @@
         assert call.chosen is not None
         instance = call.chosen.instance
         call.progress.tried.add(instance.instance_id)
-        self._metrics.attempts.labels(call.service, call.reason).inc()
+        self._metrics.attempt(call.service, call.reason).inc()
         response = await self._send(call, instance)
         try:
             return await self._read(call, response)
--- a/peridottrack/filters/retry.py
+++ b/peridottrack/filters/retry.py
@@ -64,12 +64,15 @@
         return await self._hedged(call, proceed, wait_s)
 
     async def _hedged(self, call: Call, proceed: Proceed, wait_s: float) -> Answer:
+        call.hurry = asyncio.Event()
         first = asyncio.ensure_future(proceed(call))
         try:
-            done, _ = await asyncio.wait([first], timeout=wait_s)
-            if done or not self._load.may_hedge(call):
+            await _ended_or_hurried(first, call.hurry, wait_s)
+            if first.done() or not self._load.may_hedge(call):
                 return await first
-            hedge_call = dataclasses.replace(call, attempt=call.attempt + 1, reason="hedge")
+            hedge_call = dataclasses.replace(
+                call, attempt=call.attempt + 1, reason="hedge", hurry=None
+            )
             hedge = asyncio.ensure_future(proceed(hedge_call))
         except asyncio.CancelledError:
             await cancel_and_wait(first)
@@ -77,6 +80,17 @@
         return await _first_answer(first, hedge)
 
 
+async def _ended_or_hurried(
+    first: asyncio.Task[Answer], hurry: asyncio.Event, wait_s: float
+) -> None:
+    """Wait until an attempt ends, its instance is said to run slow, or time passes."""
+    hurried = asyncio.ensure_future(hurry.wait())
+    try:
+        await asyncio.wait([first, hurried], timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        hurried.cancel()
+
+
 async def _first_answer(first: asyncio.Task[Answer], hedge: asyncio.Task[Answer]) -> Answer:
     """Return whichever answers first, cancel the other; fail only if both do."""
     pending = {first, hedge}
--- a/peridottrack/front.py
+++ b/peridottrack/front.py
@@ -120,8 +120,8 @@
     def _account(self, call: Call, outcome: str) -> None:
         service = call.route.service if call.route else UNROUTED
         seconds = self._clock.now() - call.started_at
-        self._metrics.calls.labels(service, outcome).inc()
-        self._metrics.call_seconds.labels(service).observe(seconds)
+        self._metrics.call_outcome(service, outcome).inc()
+        self._metrics.call_duration(service).observe(seconds)
         log.debug(
             "route",
             "call ended",
--- a/peridottrack/limiter.py
+++ b/peridottrack/limiter.py
@@ -17,7 +17,7 @@
 LIMIT_MIN = 1.0
 LIMIT_BACKOFF = 0.85
 BACKOFF_PAUSE_S = 0.05
-START_FACTOR = 2.0
+START_FACTOR = 4.0
 
 
 class AdaptiveLimit:
--- a/peridottrack/metrics.py
+++ b/peridottrack/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import cache
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
@@ -110,6 +112,21 @@
             registry=self.registry,
         )
 
+    @cache  # noqa: B019 - a node's metrics live as long as its process
+    def call_outcome(self, service: str, outcome: str) -> Counter:
+        """Return the counter of one service and outcome; looking it up anew is slow."""
+        return self.calls.labels(service, outcome)
+
+    @cache  # noqa: B019
+    def call_duration(self, service: str) -> Histogram:
+        """Return the histogram of one service."""
+        return self.call_seconds.labels(service)
+
+    @cache  # noqa: B019
+    def attempt(self, service: str, reason: str) -> Counter:
+        """Return the counter of attempts of one service for one reason."""
+        return self.attempts.labels(service, reason)
+
     def text(self) -> bytes:
         """Return the metrics in Prometheus' text format."""
         return generate_latest(self.registry)
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -25,6 +25,7 @@
 from peridottrack.controllers.measuring import MeasuringController
 from peridottrack.controllers.members import MembersController, Reachable
 from peridottrack.datagrams import Datagrams
+from peridottrack.debug import process_facts
 from peridottrack.document import Document
 from peridottrack.filters.admission import AdmissionFilter
 from peridottrack.filters.choice import ChoiceFilter
@@ -221,7 +222,9 @@
     # -- listening and background work -------------------------------------------------
 
     async def _listen_admin(self) -> None:
-        admin = admin_app(self.metrics, self.document, self._dump_by_topic())
+        admin = admin_app(
+            self.metrics, self.document, self._dump_by_topic(), self.load.collect_metrics
+        )
         await self._listen(web.AppRunner(admin, access_log=None), self.settings.admin_address)
         host = parse_endpoint(self.settings.announce_address).host
         announce = announce_app(self.announce, host)
@@ -243,7 +246,7 @@
     async def _wake_queues(self) -> None:
         while True:
             await asyncio.sleep(WAKE_INTERVAL_S)
-            self.load.wake_all()
+            self.load.wake_waiting()
 
     def _dump_by_topic(self) -> dict[str, Any]:
         return {
@@ -254,6 +257,7 @@
             "drain": self.drain.dump,
             "announce": self.announce.dump,
             "measuring": self.measuring.dump,
+            "process": process_facts,
             "poison": lambda: {"held_off": self.poison.held_marks()},
         }
 
--- a/peridottrack/retry.py
+++ b/peridottrack/retry.py
@@ -8,6 +8,7 @@
 BACKOFF_MAX_S = 0.25
 MAX_ATTEMPTS = 3
 RESERVE = 3.0
+HEDGES_SAVED = 8.0
 
 
 class RetryBudget:
@@ -35,7 +36,7 @@
     def called(self) -> None:
         """Note a call, which earns its share."""
         self._tokens = min(self.burst, self._tokens + self.share)
-        self._hedge_tokens = min(self.burst, self._hedge_tokens + self.hedge_share)
+        self._hedge_tokens = min(HEDGES_SAVED, self._hedge_tokens + self.hedge_share)
 
     def take_retry(self) -> bool:
         """Ask for a retry."""
@@ -44,9 +45,17 @@
         self._tokens -= 1.0
         return True
 
-    def take_hedge(self) -> bool:
-        """Ask for a hedge."""
-        if self._hedge_tokens < 1.0 or not self.take_retry():
+    def take_hedge(self, urgent: bool = False) -> bool:
+        """Ask for a hedge.
+
+        Parameters
+        ----------
+        urgent
+            Whether the first attempt's instance is known to run slow. Half of what is saved up
+            is kept for these, since they help far more often than a hedge on mere suspicion.
+        """
+        needed = 1.0 if urgent else 1.0 + HEDGES_SAVED / 2
+        if self._hedge_tokens < needed or not self.take_retry():
             return False
         self._hedge_tokens -= 1.0
         return True
--- a/peridottrack/signals.py
+++ b/peridottrack/signals.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import bisect
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from peridottrack.ejection import Ejection
@@ -14,10 +14,14 @@
 LATENCY_WEIGHT = 0.15
 LATENCY_TRUST_S = 5.0
 LOAD_TRUST_S = 1.0
-CONCURRENCY_TRUST_S = 0.3
+RATE_TRUST_S = 2.0
+SHED_PAUSE_S = 0.01
+SHED_PAUSE_MAX_S = 0.5
 WINDOW = 256
 RESORT_AFTER = 16
 QUANTILE_MIN_SAMPLES = 32
+# Of a normal distribution: the 98th percentile is 3 times as far out as the 75th.
+UNUSUAL_EXPONENT = 3.0
 
 
 @dataclass(slots=True)
@@ -43,6 +47,27 @@
         return self.factor if now < self.until else 1.0
 
 
+@dataclass(slots=True)
+class Attempt:
+    """One request on its way to one instance.
+
+    Parameters
+    ----------
+    on_slow
+        Called when the instance is said to run slow while it has the request.
+    """
+
+    number: int
+    view: InstanceView
+    started_at: float
+    on_slow: Callable[[], object] | None = None
+
+    @property
+    def instance(self) -> Instance:
+        """The instance that was chosen."""
+        return self.view.instance
+
+
 @dataclass(slots=True)
 class InstanceView:
     """The signals of one instance in one node.
@@ -53,6 +78,8 @@
         Whether it still ramps up.
     used
         Whether it got a call since its load was reported last.
+    paused_until
+        Local time before which it gets nothing, since it refused.
     """
 
     instance: Instance
@@ -62,15 +89,34 @@
     cold: bool = False
     used: bool = False
     in_flight: int = 0
-    started_at_by_attempt: dict[int, float] = field(default_factory=dict)
+    attempt_by_number: dict[int, Attempt] = field(default_factory=dict)
     latency_s: float | None = None
     latency_at: float = 0.0
     others_in_flight: float = 0.0
     others_at: float = float("-inf")
     slow: SlowNews = field(default_factory=SlowNews)
+    sheds_in_a_row: int = 0
+    paused_until: float = float("-inf")
+
+    def pause_after_shed(self, now: float, rng: Random) -> None:
+        """Send nothing for a moment, longer with each refusal in a row.
+
+        Otherwise an instance that refuses at once, and so has nothing in flight, would draw the
+        calls.
+        """
+        self.sheds_in_a_row += 1
+        pause_s = min(SHED_PAUSE_MAX_S, SHED_PAUSE_S * 2.0 ** (self.sheds_in_a_row - 1))
+        self.paused_until = now + pause_s * (0.5 + rng.random())
+
+    def oldest_age_s(self, now: float) -> float:
+        """Return how long the oldest request in flight has run."""
+        for attempt in self.attempt_by_number.values():
+            return now - attempt.started_at
+        return 0.0
 
     def observe(self, latency_s: float, now: float) -> None:
         """Take in the latency of a good answer."""
+        self.sheds_in_a_row = 0
         self.latency_at = now
         if self.latency_s is None:
             self.latency_s = latency_s
@@ -89,12 +135,6 @@
         trust = math.exp((self.others_at - now) / LOAD_TRUST_S)
         return self.in_flight + trust * self.others_in_flight
 
-    def oldest_age_s(self, now: float) -> float:
-        """Return how long the oldest request in flight has run."""
-        for started_at in self.started_at_by_attempt.values():
-            return now - started_at
-        return 0.0
-
 
 class LatencyWindow:
     """Quantiles of the last latencies of a service."""
@@ -118,33 +158,45 @@
             self._stale = 0
         return self._sorted[min(len(self._sorted) - 1, int(share * len(self._sorted)))]
 
-    def share_above(self, latency_s: float) -> float:
-        """Return the share of samples above a latency."""
-        if not self._sorted:
-            return 0.0
-        return 1.0 - bisect.bisect_right(self._sorted, latency_s) / len(self._sorted)
+    def unusual_s(self) -> float | None:
+        """Return a latency that few calls exceed while nothing is wrong.
 
+        It is drawn from the middle of the distribution, as for a logarithmic normal one, since
+        the upper end holds the very troubles that it should tell apart.
+        """
+        median_s = self.quantile(0.5)
+        upper_s = self.quantile(0.75)
+        if median_s is None or upper_s is None:
+            return None
+        return median_s * (upper_s / median_s) ** UNUSUAL_EXPONENT
 
-class Concurrency:
-    """The smoothed number of requests in flight."""
+
+class Rate:
+    """Calls a second, averaged over the last seconds."""
 
     def __init__(self) -> None:
-        self._value = 0.0
-        self._changed_at: float | None = None
-        self._level = 0
-
-    def changed(self, level: int, now: float) -> None:
-        """Note that the number in flight is ``level`` from now on."""
-        self._value = self.value(now)
-        self._changed_at = now
-        self._level = level
-
-    def value(self, now: float) -> float:
-        """Return the smoothed number."""
-        if self._changed_at is None:
+        self._count = 0.0
+        self._counted_at: float | None = None
+        self._began_at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one call."""
+        if self._counted_at is None:
+            self._counted_at = self._began_at = now
+        self._count = self._decayed(now) + 1.0
+        self._counted_at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the rate."""
+        if self._counted_at is None:
             return 0.0
-        keep = math.exp((self._changed_at - now) / CONCURRENCY_TRUST_S)
-        return self._level + keep * (self._value - self._level)
+        # In the first seconds the window is not full yet.
+        window_s = RATE_TRUST_S * (1.0 - math.exp((self._began_at - now) / RATE_TRUST_S))
+        return self._decayed(now) / max(window_s, 0.05)
+
+    def _decayed(self, now: float) -> float:
+        assert self._counted_at is not None
+        return self._count * math.exp((self._counted_at - now) / RATE_TRUST_S)
 
 
 def new_view(instance: Instance, callers: int, now: float, cold: bool, rng: Random) -> InstanceView:
--- a/peridottrack/slowness.py
+++ b/peridottrack/slowness.py
@@ -14,6 +14,7 @@
 WELL_SAMPLES_TO_TELL = 4
 SLOW_FACTOR = 3.0
 VALID_S = 0.12
+REPEAT_S = 0.01
 RENEW_S = 0.06
 
 
@@ -33,13 +34,14 @@
 class SlownessDetector:
     """Turns samples of lateness into words "slow" and "well", told on change.
 
-    While slow, the word is renewed every `RENEW_S`, since it counts for `VALID_S` only.
+    The first word is repeated after `REPEAT_S`, since datagrams get lost, and while slow it is
+    renewed every `RENEW_S`, since it counts for `VALID_S` only.
     """
 
     def __init__(self) -> None:
         self._late_in_a_row = 0
         self._well_in_a_row = 0
-        self._told_at = float("-inf")
+        self._tell_again_at = 0.0
         self.factor = 1.0
 
     def sample(self, late_s: float, now: float) -> Verdict | None:
@@ -51,15 +53,15 @@
             self._well_in_a_row += 1
             self._late_in_a_row = 0
         if self.factor <= 1.0:
-            return self._begin(now) if self._late_in_a_row >= LATE_SAMPLES_TO_TELL else None
+            if self._late_in_a_row < LATE_SAMPLES_TO_TELL:
+                return None
+            self._tell_again_at = now + REPEAT_S
+            self.factor = SLOW_FACTOR
+            return Verdict(self.factor)
         if self._well_in_a_row >= WELL_SAMPLES_TO_TELL:
             self.factor = 1.0
             return Verdict(1.0)
-        if now - self._told_at >= RENEW_S:
-            return self._begin(now)
-        return None
-
-    def _begin(self, now: float) -> Verdict:
-        self.factor = SLOW_FACTOR
-        self._told_at = now
+        if now < self._tell_again_at or self._well_in_a_row:
+            return None
+        self._tell_again_at = now + RENEW_S
         return Verdict(self.factor)
--- a/peridottrack/standin/upstream.py
+++ b/peridottrack/standin/upstream.py
@@ -192,7 +192,8 @@
             if loop.time() >= give_up_at:
                 return web.Response(status=503, headers={RAN_HEADER: Ran.NO.value})
             self._note_run(request)
-            await asyncio.sleep(self._work_s())
+            if self.behaviour.service_s > 0:
+                await asyncio.sleep(self._work_s())
         answer = self._answer_body(request, body)
         if self.behaviour.fault in (Fault.BREAK_OFF, Fault.SHORT_ANSWER):
             return await self._break_off(request, answer)
