Claims: a machine of faults in virtual time, and four faults it found

Cause and change, each failing first in tests/test_claim_machine.py: - A claimed call that waited for an instance past its deadline ran after its caller had been told "not run". A claimed call is now held to its deadline by the claims controller, and the deadline filter says "unknown" once a claim was asked for. - A void that landed late and was built upon by a resend was repaired for ever. A newer row on top of one's own step now counts as made. - A process that is stopped between its claim and the dispatch sent the request late. The dispatcher looks at the clock in the same step in which it sends; what is left is a pause between that look and the write, which only an upstream that heeds the deadline can close. A check after the claim was dropped, since the machine showed that this one covers it. - A killed node's background work went on in the test world (fault of the test, mended).

Each guard was broken on purpose (condition, read-back, void in its place, clock check) and the machine caught each.

Conclusion: with a row a claim the promise rests on the table's conditions alone; clocks only decide when to give up.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(PY) -m bench.dist
 
 soak-claims: setup ## Run the claim state machine longer (STEPS=number of fault steps)
-	$(PY) -m bench.soak_claims --steps $(STEPS)
+	PERIDOTTRACK_CLAIM_STEPS=$(STEPS) $(PY) -m pytest tests/test_claim_machine.py
 
 counts: setup ## Count code, tests and the share of the decision logic
 	$(PY) -m bench.counts
--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -79,6 +79,8 @@
         Digest of method, path and body.
     reason
         Why this attempt is made: first, retry or hedge.
+    claiming
+        Whether a claim was asked for, so that "not run" must wait until it is void.
     hurry
         Set when the chosen instance is said to run slow; None if nobody waits for that.
     """
@@ -98,6 +100,7 @@
     progress: Progress = field(default_factory=Progress)
     chosen: Attempt | None = None
     hurry: asyncio.Event | None = None
+    claiming: bool = False
 
     @property
     def service(self) -> ServiceName:
--- a/peridottrack/claims.py
+++ b/peridottrack/claims.py
@@ -227,7 +227,9 @@
             ticket.version += 1
             ticket.record = record
             return True
-        return False
+        # Only this ticket may write on top of its claim, and it takes one step only. A newer row
+        # by someone else therefore means that this step, a void, was made and then built upon.
+        return settled.row is not None and settled.row.version > ticket.version
 
     async def withdraw(self, ticket: Ticket, record: ClaimRecord) -> bool:
         """Write a void row in the claim's place, or over the claim if it was written.
--- a/peridottrack/clock.py
+++ b/peridottrack/clock.py
@@ -65,6 +65,10 @@
         super().__init__(self._virtual)
         self._clock_resolution = 1e-9
 
+    def freeze(self, seconds: float) -> None:
+        """Let time pass while nothing runs, as for a process that was stopped."""
+        self._virtual.skipped_s += seconds
+
     def time(self) -> float:
         """Return virtual seconds since the loop was made."""
         return self._virtual.skipped_s
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -106,13 +106,6 @@
     announce_lease_s: float = Field(
         5.0, ge=0.5, le=60, description="Seconds after which a silent upstream is gone."
     )
-    claims: Literal["rows", "journal"] = Field(
-        "rows", description="Where claims are kept: a row each, or journals by shard."
-    )
-    claim_shards: int = Field(16, ge=1, le=4_096, description="Shards of the claim journal.")
-    claim_flush_s: float = Field(
-        0.05, ge=0.001, le=5, description="Seconds between two appends to a claim journal."
-    )
     log_level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = Field(
         "INFO", description="Lowest level that is logged."
     )
--- a/peridottrack/controllers/claims.py
+++ b/peridottrack/controllers/claims.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict
 
 from peridottrack import log
-from peridottrack.call import REPLAYED_HEADER, Answer, Call, Proceed
+from peridottrack.call import REPLAYED_HEADER, Answer, Call, Proceed, cancel_and_wait
 from peridottrack.claims import (
     ClaimId,
     ClaimRecord,
@@ -34,7 +34,8 @@
 REPAIR_FIRST_S = 0.5
 REPAIR_MAX_S = 30.0
 REPAIR_CONCURRENCY = 8
-IN_PROGRESS_GRACE_S = 2.0
+LATE_ANSWER_S = 2.0
+IN_PROGRESS_GRACE_S = 1.0 + LATE_ANSWER_S
 
 ERROR_BY_HELD_STATE = {
     ClaimState.CLAIMED: ErrorKind.IN_PROGRESS,
@@ -115,13 +116,9 @@
         return ClaimReply(ClaimStatus.UNSETTLED)
 
     async def _run_granted(self, call: Call, ticket: Ticket, proceed: Proceed) -> Answer:
-        # The process may have been paused while it waited for the claim.
-        if self._clock.now() >= call.deadline:
-            await self._void(ticket)
-            raise RequestError(ErrorKind.TOO_LATE)
         log.debug("claim", "claim granted", request_id=call.request_id, claim=ticket.record.id.text)
         try:
-            answer = await proceed(call)
+            answer = await self._in_time(call, proceed)
         except RequestError as error:
             if RULE_BY_KIND[error.kind].ran is Ran.NO and not call.progress.unsure:
                 await self._void(ticket)
@@ -134,6 +131,24 @@
             raise
         return await self._run_ended(call, ticket, answer)
 
+    async def _in_time(self, call: Call, proceed: Proceed) -> Answer:
+        """Run a call that must not be sent after its deadline.
+
+        Once it was sent, its answer is waited for a little longer, for the sake of a resend.
+        """
+        task = asyncio.ensure_future(proceed(call))
+        try:
+            await asyncio.wait([task], timeout=call.deadline - self._clock.now())
+            if not task.done() and call.progress.dispatched:
+                await asyncio.wait([task], timeout=LATE_ANSWER_S)
+        finally:
+            await cancel_and_wait(task)
+        if not task.cancelled():
+            return task.result()
+        if call.progress.dispatched:
+            raise RequestError(ErrorKind.DEADLINE_PASSED)
+        raise RequestError(ErrorKind.TOO_LATE)
+
     async def _run_ended(self, call: Call, ticket: Ticket, answer: Answer) -> Answer:
         if answer.body is None and answer.stream is not None:
             answer = await self._collected(call, ticket, answer)
--- a/peridottrack/filters/claim.py
+++ b/peridottrack/filters/claim.py
@@ -35,12 +35,19 @@
         if call.body is None:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, "A keyed call must be small enough.")
         claim = claim_id(key, call.route.path, call.credential)
+        call.claiming = True
         # A claimed call goes on when its caller goes away, so that a resend finds its answer.
         task = asyncio.create_task(self._claims.run(call, claim, proceed))
         self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        task.add_done_callback(self._ended)
         return await asyncio.shield(task)
 
+    def _ended(self, task: asyncio.Task[Answer]) -> None:
+        self._running.discard(task)
+        # The caller may be gone; an error that nobody waits for is no fault.
+        if not task.cancelled():
+            task.exception()
+
     @property
     def running(self) -> int:
         """Claimed calls that are being worked on, their caller present or not."""
--- a/peridottrack/filters/deadline.py
+++ b/peridottrack/filters/deadline.py
@@ -25,4 +25,6 @@
     except TimeoutError:
         if call.progress.dispatched:
             raise RequestError(ErrorKind.DEADLINE_PASSED) from None
+        if call.claiming:
+            raise RequestError(ErrorKind.CLAIM_UNSETTLED) from None
         raise RequestError(ErrorKind.TOO_LATE) from None
--- a/peridottrack/filters/dispatch.py
+++ b/peridottrack/filters/dispatch.py
@@ -45,6 +45,22 @@
         raise BrokeOff(type(error).__name__) from error
 
 
+def check_in_time(call: Call, now: float) -> None:
+    """Refuse to send a request after its deadline.
+
+    The process may have been paused since the request was admitted or its claim was granted.
+    What is left is a pause between this check and the write to the socket, which only an
+    upstream that heeds the deadline header can close.
+
+    Raises
+    ------
+    RequestError
+        ``TOO_LATE``, not run.
+    """
+    if now >= call.deadline:
+        raise RequestError(ErrorKind.TOO_LATE)
+
+
 class Dispatcher:
     """The end of the filter chain.
 
@@ -74,6 +90,7 @@
         """Send the request once."""
         assert call.chosen is not None
         instance = call.chosen.instance
+        check_in_time(call, self._clock.now())
         call.progress.tried.add(instance.instance_id)
         self._metrics.attempt(call.service, call.reason).inc()
         response = await self._send(call, instance)
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -14,7 +14,7 @@
 from peridottrack.admin import HttpPeers, admin_app, announce_app
 from peridottrack.bucket import MeasuringBudget
 from peridottrack.call import build_chain
-from peridottrack.claims import ClaimStore, RowClaims
+from peridottrack.claims import RowClaims
 from peridottrack.clock import LoopClock
 from peridottrack.config import Settings, parse_endpoint
 from peridottrack.controllers.announce import AnnounceController
@@ -155,7 +155,8 @@
             self.members, self.load, self.announce, self.datagrams, budget, clock, rng, metrics
         )
         name = f"{me.node}/{me.incarnation}"
-        self.claims = ClaimsController(self._claim_store(), name, clock, rng, metrics)
+        claim_store = RowClaims(self.table, clock)
+        self.claims = ClaimsController(claim_store, name, clock, rng, metrics)
         self._connect_streams()
         self._build_front()
 
@@ -169,9 +170,6 @@
             Region(self.settings.region),
         )
 
-    def _claim_store(self) -> ClaimStore:
-        return RowClaims(self.table, self._clock)
-
     def _connect_streams(self) -> None:
         def take_reachable(reachable: Reachable) -> None:
             self.load.set_instances(reachable.instances, reachable.nodes)
--- a/peridottrack/standin/memory.py
+++ b/peridottrack/standin/memory.py
@@ -71,6 +71,8 @@
         if fault is Fault.LOST_BEFORE or fault is Fault.LATE:
             return WriteOutcome.UNKNOWN
         outcome = self.apply(writes, writer)
+        # An answer is never there in the same step; a process may be stopped before it reads it.
+        await asyncio.sleep(0)
         return WriteOutcome.UNKNOWN if fault in WRITE_MAY_LAND else outcome
 
     def apply(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
--- /dev/null
+++ b/tests/claim_world.py
@@ -0,0 +1,250 @@
+"""Nodes, a faulty table and an upstream in virtual time, for tests of claims."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from multidict import CIMultiDict
+
+from peridottrack.call import Answer, Call, build_chain
+from peridottrack.claims import ClaimRecord, ClaimState, RowClaims
+from peridottrack.clock import LoopClock, VirtualLoop
+from peridottrack.controllers.claims import ClaimsController
+from peridottrack.document import RoutePart
+from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran
+from peridottrack.exceptions import RequestError
+from peridottrack.filters.claim import ClaimFilter
+from peridottrack.filters.deadline import deadline_filter
+from peridottrack.filters.dispatch import check_in_time
+from peridottrack.metrics import Metrics
+from peridottrack.poison import fingerprint
+from peridottrack.standin.faults import FaultPlan
+from peridottrack.standin.memory import MemoryTable
+from peridottrack.store import scan
+from peridottrack.types import InstanceId, RequestId
+
+ROUTE = RoutePart(path="/orders", methods=["POST"], service="orders", key="required")
+DEADLINE_MS = 1_500
+
+
+class LoopWallClock(LoopClock):
+    """A wall clock that follows the loop, so that a run can be replayed."""
+
+    def wall(self) -> float:
+        return self.now()
+
+
+class PausableTable:
+    """One node's way to the table; while the node is paused no answer reaches it."""
+
+    def __init__(self, table):
+        self._table = table
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def get(self, key):
+        return await self._seen_by_node(self._table.get, key)
+
+    async def query(self, partition, after=None, limit=100):
+        return await self._seen_by_node(self._table.query, partition, after, limit)
+
+    async def transact(self, writes, writer):
+        return await self._seen_by_node(self._table.transact, writes, writer)
+
+    async def _seen_by_node(self, operation, *arguments):
+        await self.awake.wait()
+        result = await operation(*arguments)
+        await self.awake.wait()
+        return result
+
+
+@dataclass
+class Told:
+    """What one request was told."""
+
+    key: str
+    body: bytes
+    request_id: str
+    ran: Ran
+    answer: bytes | None = None
+
+
+@dataclass
+class Upstream:
+    """Counts what really ran; works as the next behaviours say."""
+
+    runs_by_key: Counter = field(default_factory=Counter)
+    ran_requests: set = field(default_factory=set)
+    started_late: int = 0
+    behaviours: list = field(default_factory=list)
+    work_s: float = 0.05
+    check_in_time: Callable = check_in_time
+
+    async def __call__(self, call: Call) -> Answer:
+        behaviour = self.behaviours.pop(0) if self.behaviours else "ok"
+        if behaviour == "queue":
+            await asyncio.sleep(2 * DEADLINE_MS / 1000)
+            behaviour = "ok"
+        if behaviour == "shed":
+            raise RequestError(ErrorKind.UPSTREAM_SHED)
+        now = asyncio.get_running_loop().time()
+        self.check_in_time(call, now)
+        if now > call.deadline:
+            self.started_late += 1
+        call.progress.dispatched.append(InstanceId("i"))
+        if behaviour != "break_before":
+            key = call.request.headers["Idempotency-Key"]
+            self.runs_by_key[key] += 1
+            self.ran_requests.add(call.request_id)
+        if behaviour in ("break_before", "break_after"):
+            call.progress.unsure = True
+            raise RequestError(ErrorKind.UPSTREAM_FAILED)
+        await asyncio.sleep(60 if behaviour == "hang" else self.work_s)
+        body = f"{call.request.headers['Idempotency-Key']} {call.body!r}".encode()
+        return Answer(200, CIMultiDict(), body)
+
+
+class Node:
+    """One node's claim path, from the deadline to the upstream."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, world: World):
+        self.table = PausableTable(world.table)
+        self.name = f"node-{next(self.numbers)}"
+        store = world.make_store(self.table, LoopWallClock())
+        self.claims = ClaimsController(
+            store, self.name, LoopWallClock(), random.Random(5), Metrics()
+        )
+        self.filter = ClaimFilter(self.claims)
+        self.chain = build_chain([deadline_filter, self.filter], world.upstream)
+        self.dead = False
+
+    def kill(self):
+        """Stop at once, as a killed process does; what was sent stays sent."""
+        self.dead = True
+        self.table.awake = asyncio.Event()
+
+
+class World:
+    """Two nodes, one upstream, one table."""
+
+    def __init__(self, make_store=RowClaims, check_in_time=check_in_time, nodes: int = 2):
+        self.loop = VirtualLoop()
+        self.faults = FaultPlan()
+        self.table = MemoryTable(self.faults)
+        self.upstream = Upstream(check_in_time=check_in_time)
+        self.make_store = make_store
+        self.killed: set[str] = set()
+        self._calls: set[asyncio.Task] = set()
+        self.told: list[Told] = []
+        self._ids = itertools.count(1)
+        self.nodes = self.do(self._make_nodes(nodes))
+
+    async def _make_nodes(self, count):
+        return [Node(self) for _ in range(count)]
+
+    def do(self, work):
+        return self.loop.run_until_complete(work)
+
+    def advance(self, seconds: float):
+        self.do(asyncio.sleep(seconds))
+
+    def send(self, key: str, body: bytes, number: int = 0):
+        """Send a request to a node; its end is noted in ``told``."""
+        node = self.nodes[number]
+
+        async def start():
+            task = asyncio.ensure_future(self._run(node, key, body))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+
+        self.do(start())
+
+    async def _run(self, node, key, body):
+        headers = CIMultiDict({"Idempotency-Key": key, "Peridot-Deadline-Ms": str(DEADLINE_MS)})
+        request = SimpleNamespace(headers=headers, method="POST")
+        request_id = RequestId(f"r{next(self._ids)}")
+        call = Call(request, request_id, self.loop.time(), route=ROUTE, body=body)
+        call.credential = "c"
+        call.fingerprint = fingerprint("POST", "/orders", body)
+        try:
+            answer = await node.chain(call)
+            told = Told(key, body, request_id, Ran.YES, answer.body)
+        except RequestError as error:
+            told = Told(key, body, request_id, RULE_BY_KIND[error.kind].ran)
+        if not node.dead:
+            self.told.append(told)
+
+    def kill(self, number: int):
+        self.nodes[number].kill()
+        self.killed.add(self.nodes[number].name)
+
+        async def replace():
+            self.nodes[number] = Node(self)
+
+        self.do(replace())
+
+    def check(self):
+        """Check the promises that must hold at any moment."""
+        assert all(count <= 1 for count in self.upstream.runs_by_key.values()), "ran twice"
+        assert self.upstream.started_late == 0, "ran after its deadline"
+        for told in self.told:
+            if told.ran is Ran.NO:
+                assert told.request_id not in self.upstream.ran_requests, "a false not run"
+            if told.answer is not None:
+                assert told.answer == f"{told.key} {told.body!r}".encode(), "another's answer"
+
+    def settle(self):
+        """Let all faults end and check that every finished order can be traced."""
+        self.faults.queued.clear()
+        for node in self.nodes:
+            node.table.awake.set()
+        self.advance(300)
+        self.check()
+        for node in self.nodes:
+            assert not node.claims._repairs, "something is still owed to the store"
+        for record in self.records():
+            assert (
+                record.state is not ClaimState.CLAIMED or record.node in self.killed
+            ), "left behind"
+            if record.state is ClaimState.DONE:
+                assert record.instances and record.answer is not None
+        # A killed node may not have recorded an end; its claim tells who ran it all the same.
+        traced = {
+            record.request_id
+            for record in self.records()
+            if record.state is ClaimState.DONE or record.node in self.killed
+        }
+        for told in self.told:
+            if told.answer is not None and told.request_id in self.upstream.ran_requests:
+                assert told.request_id in traced, "an order cannot be traced"
+
+    def records(self):
+        """Read all claims as an audit would."""
+
+        async def read():
+            found = []
+            for number in range(256):
+                async for row in scan(self.table, f"claim/{number:02x}"):
+                    if "/" not in row.key.sort:
+                        found.append(ClaimRecord.decode(row.value))
+            return found
+
+        return self.do(read())
+
+    def close(self):
+        async def cancel_all():
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.do(cancel_all())
+        self.loop.close()
--- /dev/null
+++ b/tests/test_claim_machine.py
@@ -0,0 +1,166 @@
+"""Claims under every fault of the store, pauses, kills and resends, in virtual time.
+
+The number of fault steps comes from PERIDOTTRACK_CLAIM_STEPS; `make soak-claims` raises it.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import replace
+
+import pytest
+from claim_world import World
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from peridottrack.claims import RowClaims
+from peridottrack.filters.dispatch import check_in_time
+from peridottrack.standin.faults import Fault
+from peridottrack.types import ABSENT, WriteOutcome
+
+STEPS = int(os.environ.get("PERIDOTTRACK_CLAIM_STEPS", "20000"))
+STEPS_PER_RUN = 50
+BEHAVIOURS = ("ok", "ok", "shed", "break_before", "break_after", "queue", "hang")
+CAUGHT = "ran twice|after its deadline|left behind|cannot be traced"
+numbers = st.integers(0, 1)
+
+
+def run_machine(machine, steps=STEPS):
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=max(1, steps // STEPS_PER_RUN),
+            stateful_step_count=STEPS_PER_RUN,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            # A failing run is short enough to be read; making it shorter takes minutes.
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    make_store = RowClaims
+    check_in_time = staticmethod(check_in_time)
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(type(self).make_store, type(self).check_in_time)
+
+    @rule(
+        key=st.sampled_from(["k1", "k2", "k3"]),
+        body=st.sampled_from([b"a", b"a", b"a", b"b"]),
+        number=numbers,
+        behaviour=st.sampled_from(BEHAVIOURS),
+    )
+    def send(self, key, body, number, behaviour):
+        self.world.upstream.behaviours.append(behaviour)
+        self.world.send(key, body, number)
+
+    @rule(faults=st.lists(st.sampled_from(list(Fault)), min_size=1, max_size=4))
+    def faults(self, faults):
+        self.world.faults.queue(faults)
+
+    @rule(fault=st.sampled_from(list(Fault)))
+    def lasting(self, fault):
+        self.world.faults.lasting = fault
+
+    @rule()
+    def well(self):
+        self.world.faults.lasting = Fault.NONE
+
+    @rule(seconds=st.sampled_from([0.0, 0.01, 0.06, 0.5, 2.0, 10.0]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(seconds=st.sampled_from([1.0, 5.0]))
+    def freeze(self, seconds):
+        self.world.loop.freeze(seconds)
+
+    @rule(number=numbers)
+    def pause(self, number):
+        self.world.nodes[number].table.awake.clear()
+
+    @rule(number=numbers)
+    def wake(self, number):
+        self.world.nodes[number].table.awake.set()
+
+    @rule(number=numbers)
+    def kill(self, number):
+        self.world.kill(number)
+
+    @invariant()
+    def promises_hold(self):
+        self.world.check()
+
+    def teardown(self):
+        self.world.faults.lasting = Fault.NONE
+        try:
+            self.world.settle()
+        finally:
+            self.world.close()
+
+
+def test_no_order_runs_twice_and_no_answer_lies():
+    run_machine(ClaimMachine)
+
+
+class UnconditionalTable:
+    """Writes whatever version the row has."""
+
+    def __init__(self, table):
+        self._table = table
+        self.get, self.query = table.get, table.query
+
+    async def transact(self, writes, writer):
+        current = [await self._table.get(write.key) for write in writes]
+        forced = [
+            replace(write, expected=row.version if row else ABSENT)
+            for write, row in zip(writes, current, strict=True)
+        ]
+        return await self._table.transact(forced, writer)
+
+
+class TrustingTable:
+    """Takes an unknown write for one that was made."""
+
+    def __init__(self, table):
+        self._table = table
+        self.get, self.query = table.get, table.query
+
+    async def transact(self, writes, writer):
+        outcome = await self._table.transact(writes, writer)
+        return WriteOutcome.APPLIED if outcome is WriteOutcome.UNKNOWN else outcome
+
+
+class ForgettingClaims(RowClaims):
+    """Leaves a claim that may land late as it is."""
+
+    async def withdraw(self, ticket, record):
+        return True
+
+
+def store_over(table_type):
+    return staticmethod(lambda table, clock: RowClaims(table_type(table), clock))
+
+
+def machine_of(**members):
+    return type("BrokenMachine", (ClaimMachine,), members)
+
+
+@pytest.mark.parametrize(
+    "members",
+    [
+        pytest.param({"make_store": store_over(UnconditionalTable)}, id="condition"),
+        pytest.param({"make_store": store_over(TrustingTable)}, id="read-back"),
+        pytest.param({"make_store": ForgettingClaims}, id="void in its place"),
+        pytest.param({"check_in_time": staticmethod(lambda call, now: None)}, id="clock check"),
+    ],
+)
+def test_each_guard_is_needed(members):
+    """Break one guard at a time; the machine has to notice."""
+    with pytest.raises(AssertionError, match=CAUGHT):
+        run_machine(machine_of(**members))
