--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,109 @@
+"""Documents and examples say what the program does."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from peridottrack.cmdline import cli, main
+from peridottrack.config import read_settings, settings_reference
+from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran, problem
+from peridottrack.exceptions import SettingsFaulty
+from peridottrack.metrics import Metrics
+
+ROOT = Path(__file__).parent.parent
+OPERATORS = (ROOT / "docs/operators.md").read_text()
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "examples").glob("*.json")), ids=lambda p: p.name)
+def test_examples_are_valid(path):
+    result = CliRunner().invoke(cli, ["check", str(path)])
+    assert result.exit_code == 0, result.output
+
+
+def test_settings_reference_is_generated():
+    assert settings_reference() in OPERATORS
+
+
+def test_metrics_reference_names_each_and_no_other():
+    existing = {metric.name for metric in Metrics().registry.collect()}
+    section = OPERATORS.split("## Metrics")[1].split("\n## ")[0]
+    named = {name.removesuffix("_total") for name in re.findall(r"`(peridottrack_\w+)`", section)}
+    assert named == existing
+
+
+def test_error_reference_names_each_kind_as_it_is():
+    for kind in ErrorKind:
+        rule = RULE_BY_KIND[kind]
+        assert f"| `{kind.value}` | {rule.status} | {rule.ran.value} |" in OPERATORS
+
+
+def test_problem_document():
+    made = problem(ErrorKind.HELD_OFF, "why", "r1", 17)
+    assert made.headers["Retry-After"] == "17"
+    assert made.headers["Peridot-Ran"] == Ran.NO.value
+    assert b'"request_id": "r1"' in made.body
+
+
+def test_embedding_example_runs():
+    text = (ROOT / "docs/embedding.md").read_text()
+    code = re.search(r"```python\n(.*?)```", text, re.S).group(1)
+    namespace = {}
+
+    async def send(endpoint):
+        return endpoint.port
+
+    async def run():
+        exec(code, namespace)  # noqa: S102
+        return await namespace["call"](send)
+
+    assert asyncio.run(run()) in (9000, 9001, 9002)
+
+
+def test_all_settings_faults_are_listed_at_once():
+    text = """{
+      // one of each
+      "callers_address": "localhost:80", "admin_address": "127.0.0.1:99999", "typo": 1,
+      "queue_length": -1, "drain_s": "soon", "message_keys": ["short"],
+    }"""
+    with pytest.raises(SettingsFaulty) as caught:
+        read_settings(text, "node.json")
+    faults = "\n".join(caught.value.faults)
+    for key in ("callers_address", "admin_address", "typo", "queue_length", "drain_s", "table_url"):
+        assert f"node.json: {key}" in faults
+    assert "at least 16 characters" in faults
+
+
+def run_main(monkeypatch, capsys, *arguments):
+    monkeypatch.setattr("sys.argv", ["peridottrack", *arguments])
+    with pytest.raises(SystemExit) as caught:
+        main()
+    return caught.value.code, capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["check", "/nonexistent"], 2),
+        (["nonsense"], 2),
+        (["dump", "not-an-address"], 9),
+        (["document", "show", "--platform", "http://127.0.0.1:1"], 7),
+    ],
+)
+def test_bad_input_gets_one_line_and_a_code(monkeypatch, capsys, arguments, code):
+    got, shown = run_main(monkeypatch, capsys, *arguments)
+    assert got == code
+    assert "Traceback" not in shown
+    assert shown.strip()
+
+
+def test_faulty_document_has_its_exit_code(monkeypatch, capsys, tmp_path):
+    path = tmp_path / "document.json"
+    path.write_text('{"a": {"owners": ["x"], "routes": [{"path": "/p", "service": "s"}]}}')
+    got, shown = run_main(monkeypatch, capsys, "check", str(path))
+    assert got == 3
+    assert "no section defines service s" in shown
