Claim journals by shard, and keyed calls measured

Cause: one row a claim costs two writes a call; several hundred writes a second carry about 150 keyed calls a second, 0.07% of the target's calls.

Change: journals by shard behind the same ClaimStore. Which node should own a shard follows from the membership and needs no lease; the fence makes it safe. The same machine that tests rows tests journals, with owners that change at any moment and messages that get lost.

Also: a read that may be hedged cost two extra tasks and an event; it now costs one task and a timer.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,166 @@
+"""Keyed calls: writes a claim, claims a second, recovery, and added latency over loopback."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from dataclasses import dataclass
+
+import aiohttp
+
+from bench.report import Report
+from peridottrack import journal
+from peridottrack.claims import ClaimRecord, ClaimState, ClaimStore, RowClaims, claim_id
+from peridottrack.clock import LoopClock, run_virtual
+from peridottrack.journal import Entry, JournalClaims, ShardOwner, read_shard
+from peridottrack.standin.cluster import Cluster
+from peridottrack.standin.deployments import BUZULIP
+from peridottrack.standin.memory import MemoryObjects, MemoryTable
+from peridottrack.store import new_writer
+from peridottrack.types import NodeId
+
+STORE_WRITES_PER_S = 300.0
+NODES = 1_100
+CALLS_PER_S = 230_000
+FLUSH_S = 0.05
+CALLS = 300
+
+
+def record(number: int, state: ClaimState = ClaimState.CLAIMED) -> ClaimRecord:
+    """Return a claim of usual size."""
+    claim = claim_id(f"order-{number}", "/siparis/orders", "c" * 24)
+    return ClaimRecord(claim, state, "f" * 16, "c" * 24, "r" * 16, "10.0.0.1:7000/1", 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCost:
+    """What one way of keeping claims costs."""
+
+    name: str
+    writes_per_claim: float
+    rate_per_s: float
+    cpu_us: float
+
+
+async def run_claims(name: str, store: ClaimStore, table: MemoryTable, rate: float) -> StoreCost:
+    """Claim and finish at a rate for some virtual seconds."""
+    seconds = 5.0
+    count = int(rate * seconds)
+    before = table.writes
+
+    async def one(number: int) -> None:
+        await asyncio.sleep(number / rate)
+        reply = await store.claim(record(number))
+        assert reply.ticket is not None
+        assert await store.finish(reply.ticket, record(number, ClaimState.DONE))
+
+    began = time.process_time()
+    await asyncio.gather(*(one(number) for number in range(count)))
+    cpu_us = (time.process_time() - began) / count * 1e6
+    return StoreCost(name, (table.writes - before) / count, rate, cpu_us)
+
+
+def measure_rows(rate: float) -> StoreCost:
+    """Measure a row a claim."""
+
+    async def run() -> StoreCost:
+        table = MemoryTable()
+        return await run_claims("row a claim", RowClaims(table, LoopClock()), table, rate)
+
+    return run_virtual(run())
+
+
+def measure_journal(rate: float, shards: int) -> StoreCost:
+    """Measure journals, all of whose shards this node owns."""
+
+    async def run() -> StoreCost:
+        table = MemoryTable()
+        me = NodeId("10.0.0.1:7000")
+        store = JournalClaims(
+            me, shards, FLUSH_S, table, MemoryObjects(), None, lambda shard: me, LoopClock()  # type: ignore[arg-type]
+        )
+        return await run_claims(f"journal, {shards} shards", store, table, rate)
+
+    return run_virtual(run())
+
+
+def measure_recovery(entries: int) -> tuple[float, float]:
+    """Return seconds of processor time and reads to take over a shard of so many claims."""
+
+    async def run() -> tuple[float, float]:
+        table, objects = MemoryTable(), MemoryObjects()
+        owner = ShardOwner(0, NodeId("a"), table, objects, LoopClock(), 0.001)
+        for start in range(0, entries, 100):
+            batch = [Entry(record(number), new_writer()) for number in range(start, start + 100)]
+            await asyncio.gather(*(owner.claim(entry) for entry in batch))
+        reads, began = table.reads, time.process_time()
+        state = await read_shard(table, objects, 0)
+        assert len(state.entry_by_id) == entries
+        return time.process_time() - began, table.reads - reads
+
+    return run_virtual(run())
+
+
+async def measure_latency(**settings: object) -> tuple[list[float], list[float]]:
+    """Return sorted latencies of lookups and of keyed orders, in turn, in one process."""
+    cluster = Cluster(BUZULIP, service_s=0.0, **settings)
+    await cluster.start(per_service=1)
+    url = cluster.pairs[0].url
+    reads, orders = [], []
+    async with aiohttp.ClientSession() as session:
+        for number in range(CALLS):
+            began = time.perf_counter()
+            async with session.get(url + "/siparis/mine") as answer:
+                await answer.read()
+            reads.append(time.perf_counter() - began)
+            headers = {"Idempotency-Key": f"b-{number}", "Authorization": "Bearer b"}
+            began = time.perf_counter()
+            async with session.post(url + "/siparis/orders", headers=headers) as answer:
+                await answer.read()
+                assert answer.status == 200
+            orders.append(time.perf_counter() - began)
+    await cluster.stop()
+    return sorted(reads), sorted(orders)
+
+
+def print_latency(name: str, **settings: object) -> None:
+    """Print what a claim adds to a call."""
+    reads, orders = asyncio.run(measure_latency(**settings))
+    for share in (0.5, 0.99):
+        index = int(share * CALLS)
+        added_ms = (orders[index] - reads[index]) * 1000
+        print(
+            f"{name}: added at p{share * 100:.0f} {added_ms:.2f} ms (lookup {reads[index] * 1000:.2f} ms)"
+        )
+
+
+def main() -> None:
+    """Run from the command line."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    report = Report()
+    for cost in (
+        measure_rows(200.0),
+        measure_journal(200.0, 16),
+        measure_journal(2_000.0, 16),
+        measure_journal(2_000.0, 4),
+    ):
+        most = STORE_WRITES_PER_S / cost.writes_per_claim
+        print(
+            f"{cost.name} at {cost.rate_per_s:.0f}/s: {cost.writes_per_claim:.3f} writes a claim"
+            f" with its outcome, {cost.cpu_us:.0f} us; {STORE_WRITES_PER_S:.0f} writes/s carry"
+            f" {most:.0f} claims/s, {most / CALLS_PER_S:.2%} of the target's calls"
+        )
+        if cost.name.startswith("row"):
+            report.check("rows: writes a claim", cost.writes_per_claim, 2.0)
+    journal.ENTRIES_TO_COMPACT = 1_000_000
+    for entries in (1_000, 4_000, 16_000):
+        cpu_s, reads = measure_recovery(entries)
+        print(f"taking over a shard of {entries} claims: {cpu_s * 1000:.0f} ms, {reads:.0f} reads")
+    print_latency("row a claim")
+    print_latency("journal, 5 ms flush", claims="journal", claim_flush_s=0.005)
+    report.finish("store without delay; a store's round trips come on top")
+
+
+if __name__ == "__main__":
+    main()
--- a/peridottrack/admin.py
+++ b/peridottrack/admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from collections.abc import Callable, Mapping
 from ipaddress import ip_address
@@ -11,14 +12,17 @@
 from aiohttp import web
 from pydantic import ValidationError
 
+from peridottrack.claims import ClaimRecord, ClaimReply, ClaimStatus, Ticket
 from peridottrack.controllers.announce import AnnounceController, Announcement
 from peridottrack.controllers.document import DocumentController
 from peridottrack.controllers.members import MembersController
+from peridottrack.journal import Entry, JournalClaims
 from peridottrack.metrics import Metrics
 from peridottrack.revisions import Head
 from peridottrack.types import InstanceId, NodeId, SectionName
 
 PEER_TIMEOUT_S = 1.0
+MAX_CONTROL_BODY_BYTES = 2 << 20
 Dump = Callable[[], dict[str, Any]]
 
 
@@ -56,7 +60,7 @@
         have = {SectionName(name): version for name, version in (await request.json()).items()}
         return web.Response(body=document.answer_peer(have), content_type="application/json")
 
-    app = web.Application()
+    app = web.Application(client_max_size=MAX_CONTROL_BODY_BYTES)
     app.router.add_get("/metrics", get_metrics)
     app.router.add_get("/dump", get_dump)
     app.router.add_get("/version", get_version)
@@ -124,6 +128,63 @@
             return None
 
 
+class HttpShards:
+    """Asks the owners of claim shards over their admin addresses."""
+
+    def __init__(self, session: aiohttp.ClientSession, members: MembersController) -> None:
+        self._session = session
+        self._members = members
+        self._timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_S)
+
+    async def claim(self, owner: NodeId, entry: Entry) -> ClaimReply | None:
+        """Ask for a claim; None if no answer came, so that it may have been made."""
+        try:
+            answer = await self._post(owner, "claim", entry.to_data())
+        except aiohttp.ClientConnectorError:
+            return ClaimReply(ClaimStatus.REFUSED)
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
+        status = ClaimStatus(answer["status"])
+        record = answer["record"]
+        return ClaimReply(
+            status,
+            Ticket(entry.record, entry.writer, 0),
+            ClaimRecord.decode(base64.b64decode(record)) if record else None,
+        )
+
+    async def finish(self, owner: NodeId, entry: Entry, withdraw: bool) -> bool | None:
+        """Tell a claim's end."""
+        try:
+            answer = await self._post(owner, "finish", {**entry.to_data(), "withdraw": withdraw})
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
+        return bool(answer["durable"])
+
+    async def _post(self, owner: NodeId, operation: str, data: dict[str, Any]) -> dict[str, Any]:
+        url = f"http://{self._members.admin_of(owner)}/claims/{operation}"
+        async with self._session.post(url, json=data, timeout=self._timeout) as answer:
+            answer.raise_for_status()
+            found: dict[str, Any] = json.loads(await answer.read())
+            return found
+
+
+def add_claim_routes(app: web.Application, claims: JournalClaims) -> None:
+    """Let other nodes use the claim shards of this one."""
+
+    async def post_claim(request: web.Request) -> web.Response:
+        reply = await claims.claim_here(Entry.from_data(await request.json()))
+        record = base64.b64encode(reply.record.encode()).decode() if reply.record else None
+        return web.json_response({"status": reply.status.value, "record": record})
+
+    async def post_finish(request: web.Request) -> web.Response:
+        data = await request.json()
+        durable = await claims.finish_here(Entry.from_data(data), data["withdraw"])
+        return web.json_response({"durable": durable})
+
+    app.router.add_post("/claims/claim", post_claim)
+    app.router.add_post("/claims/finish", post_finish)
+
+
 def _instance_id(request: web.Request) -> InstanceId:
     return InstanceId(request.match_info["id"])
 
--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -82,7 +83,7 @@
     claiming
         Whether a claim was asked for, so that "not run" must wait until it is void.
     hurry
-        Set when the chosen instance is said to run slow; None if nobody waits for that.
+        Called when the chosen instance is said to run slow; None if nobody waits for that.
     """
 
     request: web.BaseRequest
@@ -99,7 +100,7 @@
     reason: str = "first"
     progress: Progress = field(default_factory=Progress)
     chosen: Attempt | None = None
-    hurry: asyncio.Event | None = None
+    hurry: Callable[[], object] | None = None
     claiming: bool = False
 
     @property
@@ -114,8 +115,8 @@
         return self.idempotent and self.body is not None
 
 
-Proceed = Callable[[Call], Awaitable[Answer]]
-Filter = Callable[[Call, Proceed], Awaitable[Answer]]
+Proceed = Callable[[Call], Coroutine[Any, Any, Answer]]
+Filter = Callable[[Call, Proceed], Coroutine[Any, Any, Answer]]
 
 
 def build_chain(filters: list[Filter], last: Proceed) -> Proceed:
@@ -127,7 +128,7 @@
 
 
 def _bind(item: Filter, proceed: Proceed) -> Proceed:
-    def bound(call: Call) -> Awaitable[Answer]:
+    def bound(call: Call) -> Coroutine[Any, Any, Answer]:
         return item(call, proceed)
 
     return bound
--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -30,7 +30,8 @@
     PromiseBroken,
     StoreUnavailable,
 )
-from peridottrack.platform_http import HttpTable
+from peridottrack.journal import journal_trail
+from peridottrack.platform_http import HttpObjects, HttpTable
 from peridottrack.revisions import Edit, accept, read_head, read_history, read_revision
 from peridottrack.status import gather_status
 from peridottrack.types import SectionName, TableStore
@@ -169,10 +170,11 @@
 @cli.command()
 @click.argument("key")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+@click.option("--shards", type=int, help="Claim shards, where claims are kept in journals.")
 @platform_option
-def trace(key: str, as_json: bool, platform_url: str) -> None:
+def trace(key: str, as_json: bool, shards: int | None, platform_url: str) -> None:
     """Show what became of the calls with an Idempotency-Key."""
-    _with_table(platform_url, lambda table: _trace(table, key, as_json))
+    asyncio.run(_trace(platform_url, shards, key, as_json))
 
 
 @cli.group()
@@ -313,12 +315,16 @@
         click.echo(f"{name}: {len(nodes)} nodes {' '.join(nodes)}".rstrip())
 
 
-async def _trace(table: TableStore, key: str, as_json: bool) -> None:
-    found = False
-    async for line in trail(table, key):
-        found = True
+async def _trace(platform_url: str, shards: int | None, key: str, as_json: bool) -> None:
+    async with aiohttp.ClientSession() as session:
+        table = HttpTable(session, platform_url, "peridottrack", ADMIN_TIMEOUT_S)
+        lines = [line async for line in trail(table, key)]
+        if shards is not None:
+            objects = HttpObjects(session, platform_url, "peridottrack", ADMIN_TIMEOUT_S)
+            lines += await journal_trail(table, objects, shards, key)
+    for line in lines:
         click.echo(_trace_json(line) if as_json else _trace_text(line))
-    if not found:
+    if not lines:
         click.echo("no claim with this key")
 
 
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -106,6 +106,15 @@
     announce_lease_s: float = Field(
         5.0, ge=0.5, le=60, description="Seconds after which a silent upstream is gone."
     )
+    claims: Literal["rows", "journal"] = Field(
+        "rows", description="Where claims are kept: a row each, or journals by shard."
+    )
+    claim_shards: int = Field(
+        16, ge=1, le=4_096, description="Shards of the claim journal; the same on all nodes."
+    )
+    claim_flush_s: float = Field(
+        0.05, ge=0.001, le=5, description="Seconds for which a shard collects claims."
+    )
     log_level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = Field(
         "INFO", description="Lowest level that is logged."
     )
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
@@ -87,6 +88,7 @@
         self._version_heard = version_heard
         self._row_version = ABSENT
         self._publish_due = False
+        self._owner_by_shard: dict[int, NodeId] = {}
         self._node_by_instance: dict[InstanceId, NodeId] = {}
         self.reachable: BehaviorSubject[Reachable] = BehaviorSubject(Reachable())
         self.membership = Membership(me, rng, datagrams.send, self._changed)
@@ -142,6 +144,15 @@
         """Return the node beside an instance."""
         return self._node_by_instance.get(instance)
 
+    def owner_of(self, shard: int) -> NodeId:
+        """Return the node that should own a claim shard, by rendezvous hashing."""
+        owner = self._owner_by_shard.get(shard)
+        if owner is None:
+            nodes = [update.node for update in self.membership.present()]
+            owner = max(nodes, key=lambda node: _shard_weight(shard, node))
+            self._owner_by_shard[shard] = owner
+        return owner
+
     def admin_of(self, node: NodeId) -> Endpoint | None:
         """Return a node's admin address."""
         member = self.membership.member_by_node.get(node)
@@ -200,6 +211,7 @@
 
     def _publish(self) -> None:
         self._publish_due = False
+        self._owner_by_shard.clear()
         present = self.membership.present()
         self._node_by_instance = {
             instance.instance_id: update.node for update in present for instance in update.instances
@@ -218,6 +230,10 @@
     return [update_from_data(json.loads(row.value)) async for row in scan(table, PARTITION)]
 
 
+def _shard_weight(shard: int, node: NodeId) -> bytes:
+    return hashlib.blake2b(f"{shard} {node}".encode(), digest_size=8).digest()
+
+
 def _update_to_data(update: MemberUpdate) -> dict[str, Any]:
     return {
         "node": update.node,
--- a/peridottrack/filters/choice.py
+++ b/peridottrack/filters/choice.py
@@ -28,7 +28,7 @@
         """Choose, send, and tell the balancer how it ended."""
         call.chosen = attempt = await self._load.acquire(call)
         if call.hurry is not None:
-            attempt.on_slow = call.hurry.set
+            attempt.on_slow = call.hurry
         try:
             answer = await proceed(call)
         except RequestError as error:
--- a/peridottrack/filters/retry.py
+++ b/peridottrack/filters/retry.py
@@ -64,31 +64,41 @@
         return await self._hedged(call, proceed, wait_s)
 
     async def _hedged(self, call: Call, proceed: Proceed, wait_s: float) -> Answer:
-        call.hurry = asyncio.Event()
-        first = asyncio.ensure_future(proceed(call))
+        loop = asyncio.get_running_loop()
+        wake = Wake(loop.create_future())
+        call.hurry = wake
+        first = loop.create_task(proceed(call))
+        first.add_done_callback(wake)
+        timer = loop.call_later(wait_s, wake)
         try:
-            await _ended_or_hurried(first, call.hurry, wait_s)
+            await wake.future
             if first.done() or not self._load.may_hedge(call):
                 return await first
             hedge_call = dataclasses.replace(
                 call, attempt=call.attempt + 1, reason="hedge", hurry=None
             )
-            hedge = asyncio.ensure_future(proceed(hedge_call))
+            hedge = loop.create_task(proceed(hedge_call))
         except asyncio.CancelledError:
             await cancel_and_wait(first)
             raise
+        finally:
+            timer.cancel()
         return await _first_answer(first, hedge)
 
 
-async def _ended_or_hurried(
-    first: asyncio.Task[Answer], hurry: asyncio.Event, wait_s: float
-) -> None:
-    """Wait until an attempt ends, its instance is said to run slow, or time passes."""
-    hurried = asyncio.ensure_future(hurry.wait())
-    try:
-        await asyncio.wait([first, hurried], timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        hurried.cancel()
+class Wake:
+    """Ends a wait at the first of several events; the later ones change nothing.
+
+    It is called with whatever the event passes on, and costs less than tasks that wait.
+    """
+
+    def __init__(self, future: asyncio.Future[None]) -> None:
+        self.future = future
+
+    def __call__(self, *event: object) -> None:
+        """Note that something happened."""
+        if not self.future.done():
+            self.future.set_result(None)
 
 
 async def _first_answer(first: asyncio.Task[Answer], hedge: asyncio.Task[Answer]) -> Answer:
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -11,10 +11,16 @@
 from aiohttp import web
 
 from peridottrack import log
-from peridottrack.admin import HttpPeers, admin_app, announce_app
+from peridottrack.admin import (
+    HttpPeers,
+    HttpShards,
+    add_claim_routes,
+    admin_app,
+    announce_app,
+)
 from peridottrack.bucket import MeasuringBudget
 from peridottrack.call import build_chain
-from peridottrack.claims import RowClaims
+from peridottrack.claims import ClaimStore, RowClaims
 from peridottrack.clock import LoopClock
 from peridottrack.config import Settings, parse_endpoint
 from peridottrack.controllers.announce import AnnounceController
@@ -36,9 +42,10 @@
 from peridottrack.filters.retry import RetryFilter
 from peridottrack.filters.route import RouteFilter
 from peridottrack.front import Front
+from peridottrack.journal import JournalClaims
 from peridottrack.messages import Crash, MemberState, MemberUpdate, Message
 from peridottrack.metrics import Metrics
-from peridottrack.platform_http import HttpTable
+from peridottrack.platform_http import HttpObjects, HttpTable
 from peridottrack.poison import PoisonList
 from peridottrack.store import GuardedTable
 from peridottrack.types import Clock, FailureDomain, InstanceId, NodeId, Region
@@ -68,6 +75,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._runners: list[web.BaseRunner] = []
         self._sessions: list[aiohttp.ClientSession] = []
+        self.journal: JournalClaims | None = None
 
     async def start(self) -> None:
         """Join the others, read the document and begin to listen."""
@@ -156,7 +164,7 @@
             self.members, self.load, self.announce, self.datagrams, budget, clock, rng, metrics
         )
         name = f"{me.node}/{me.incarnation}"
-        claim_store = RowClaims(self.table, clock)
+        claim_store = self._claim_store(control)
         self.claims = ClaimsController(claim_store, name, clock, rng, metrics)
         self._connect_streams()
         self._build_front()
@@ -171,6 +179,25 @@
             Region(self.settings.region),
         )
 
+    def _claim_store(self, control: aiohttp.ClientSession) -> ClaimStore:
+        settings = self.settings
+        if settings.claims == "rows":
+            return RowClaims(self.table, self._clock)
+        objects = HttpObjects(
+            control, settings.object_url, settings.bucket_name, settings.store_timeout_s
+        )
+        self.journal = JournalClaims(
+            self.members.membership.me.node,
+            settings.claim_shards,
+            settings.claim_flush_s,
+            self.table,
+            objects,
+            HttpShards(control, self.members),
+            self.members.owner_of,
+            self._clock,
+        )
+        return self.journal
+
     def _connect_streams(self) -> None:
         def take_reachable(reachable: Reachable) -> None:
             self.load.set_instances(reachable.instances, reachable.nodes)
@@ -224,6 +251,8 @@
         admin = admin_app(
             self.metrics, self.document, self._dump_by_topic(), self.load.collect_metrics
         )
+        if self.journal is not None:
+            add_claim_routes(admin, self.journal)
         await self._listen(web.AppRunner(admin, access_log=None), self.settings.admin_address)
         host = parse_endpoint(self.settings.announce_address).host
         announce = announce_app(self.announce, host)
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -22,12 +22,13 @@
 from peridottrack.filters.claim import ClaimFilter
 from peridottrack.filters.deadline import deadline_filter
 from peridottrack.filters.dispatch import check_in_time
+from peridottrack.journal import JournalClaims, read_shard
 from peridottrack.metrics import Metrics
 from peridottrack.poison import fingerprint
 from peridottrack.standin.faults import FaultPlan
-from peridottrack.standin.memory import MemoryTable
+from peridottrack.standin.memory import MemoryObjects, MemoryTable
 from peridottrack.store import scan
-from peridottrack.types import InstanceId, RequestId
+from peridottrack.types import InstanceId, NodeId, RequestId
 
 ROUTE = RoutePart(path="/orders", methods=["POST"], service="orders", key="required")
 DEADLINE_MS = 1_500
@@ -64,6 +65,68 @@
         return result
 
 
+def make_row_claims(world, node):
+    return RowClaims(node.table, LoopWallClock())
+
+
+def make_journal_claims(world, node):
+    return JournalClaims(
+        NodeId(node.name),
+        2,
+        0.02,
+        node.table,
+        PausableObjects(world.objects, node.table),
+        DirectShards(world),
+        lambda shard: NodeId(world.nodes[(world.owner + shard) % 2].name),
+        LoopWallClock(),
+    )
+
+
+class PausableObjects:
+    """One node's way to the object store."""
+
+    def __init__(self, objects, table):
+        self._objects, self._table = objects, table
+
+    async def get(self, name):
+        await self._table.awake.wait()
+        return await self._objects.get(name)
+
+    async def put_if_absent(self, name, body):
+        await self._table.awake.wait()
+        return await self._objects.put_if_absent(name, body)
+
+
+class DirectShards:
+    """Asks the other node directly; a paused or killed one does not answer in time."""
+
+    TIMEOUT_S = 1.0
+
+    def __init__(self, world):
+        self._world = world
+
+    async def claim(self, owner, entry):
+        return await self._ask(owner, lambda store: store.claim_here(entry))
+
+    async def finish(self, owner, entry, withdraw):
+        return await self._ask(owner, lambda store: store.finish_here(entry, withdraw))
+
+    async def _ask(self, owner, work):
+        node = next((node for node in self._world.nodes if node.name == owner), None)
+        if node is None or self._world.loses_next_message():
+            return None
+
+        async def served():
+            await node.table.awake.wait()
+            return await work(node.store)
+
+        task = asyncio.ensure_future(served())
+        done, _ = await asyncio.wait([task], timeout=self.TIMEOUT_S)
+        if not done or self._world.loses_next_message():
+            return None
+        return task.result()
+
+
 @dataclass
 class Told:
     """What one request was told."""
@@ -118,7 +181,7 @@
     def __init__(self, world: World):
         self.table = PausableTable(world.table)
         self.name = f"node-{next(self.numbers)}"
-        store = world.make_store(self.table, LoopWallClock())
+        self.store = store = world.make_store(world, self)
         self.claims = ClaimsController(
             store, self.name, LoopWallClock(), random.Random(5), Metrics()
         )
@@ -135,13 +198,16 @@
 class World:
     """Two nodes, one upstream, one table."""
 
-    def __init__(self, make_store=RowClaims, check_in_time=check_in_time, nodes: int = 2):
+    def __init__(self, make_store=make_row_claims, check_in_time=check_in_time, nodes: int = 2):
         self.loop = VirtualLoop()
         self.faults = FaultPlan()
         self.table = MemoryTable(self.faults)
         self.upstream = Upstream(check_in_time=check_in_time)
         self.make_store = make_store
         self.killed: set[str] = set()
+        self.objects = MemoryObjects(self.faults)
+        self.owner = 0
+        self.lost_messages: list[bool] = []
         self._calls: set[asyncio.Task] = set()
         self.told: list[Told] = []
         self._ids = itertools.count(1)
@@ -204,6 +270,7 @@
     def settle(self):
         """Let all faults end and check that every finished order can be traced."""
         self.faults.queued.clear()
+        self.lost_messages.clear()
         for node in self.nodes:
             node.table.awake.set()
         self.advance(300)
@@ -235,10 +302,16 @@
                 async for row in scan(self.table, f"claim/{number:02x}"):
                     if "/" not in row.key.sort:
                         found.append(ClaimRecord.decode(row.value))
+            for shard in range(2):
+                state = await read_shard(self.table, self.objects, shard)
+                found += [entry.record for entry in state.entry_by_id.values()]
             return found
 
         return self.do(read())
 
+    def loses_next_message(self) -> bool:
+        return self.lost_messages.pop(0) if self.lost_messages else False
+
     def close(self):
         async def cancel_all():
             tasks = asyncio.all_tasks() - {asyncio.current_task()}
--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -9,11 +9,12 @@
 from dataclasses import replace
 
 import pytest
-from claim_world import World
+from claim_world import LoopWallClock, World, make_journal_claims, make_row_claims
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
+from peridottrack import journal
 from peridottrack.claims import RowClaims
 from peridottrack.filters.dispatch import check_in_time
 from peridottrack.standin.faults import Fault
@@ -43,7 +44,7 @@
 
 
 class ClaimMachine(RuleBasedStateMachine):
-    make_store = RowClaims
+    make_store = staticmethod(make_row_claims)
     check_in_time = staticmethod(check_in_time)
 
     def __init__(self):
@@ -143,8 +144,32 @@
         return True
 
 
+def make_forgetting_claims(world, node):
+    return ForgettingClaims(node.table, LoopWallClock())
+
+
+class JournalMachine(ClaimMachine):
+    """The same promises, with journals whose owners change at any moment."""
+
+    make_store = staticmethod(make_journal_claims)
+
+    @rule()
+    def change_owner(self):
+        self.world.owner += 1
+
+    @rule(lost=st.lists(st.booleans(), min_size=1, max_size=4))
+    def lose_messages(self, lost):
+        self.world.lost_messages.extend(lost)
+
+
+def test_journals_keep_the_same_promises(monkeypatch):
+    # Compact after every other row, so that snapshots take part.
+    monkeypatch.setattr(journal, "ENTRIES_TO_COMPACT", 2)
+    run_machine(JournalMachine)
+
+
 def store_over(table_type):
-    return staticmethod(lambda table, clock: RowClaims(table_type(table), clock))
+    return staticmethod(lambda world, node: RowClaims(table_type(node.table), LoopWallClock()))
 
 
 def machine_of(**members):
@@ -156,7 +181,7 @@
     [
         pytest.param({"make_store": store_over(UnconditionalTable)}, id="condition"),
         pytest.param({"make_store": store_over(TrustingTable)}, id="read-back"),
-        pytest.param({"make_store": ForgettingClaims}, id="void in its place"),
+        pytest.param({"make_store": staticmethod(make_forgetting_claims)}, id="void in its place"),
         pytest.param({"check_in_time": staticmethod(lambda call, now: None)}, id="clock check"),
     ],
 )
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,132 @@
+"""Claim journals: the fence, batches, recovery, snapshots and retention."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from claim_world import LoopWallClock
+
+from peridottrack import journal
+from peridottrack.claims import ClaimRecord, ClaimState, ClaimStatus, claim_id
+from peridottrack.clock import run_virtual
+from peridottrack.journal import Entry, ShardOwner, journal_trail, read_shard, shard_of
+from peridottrack.standin.faults import Fault
+from peridottrack.standin.memory import MemoryObjects, MemoryTable
+from peridottrack.store import new_writer
+from peridottrack.types import NodeId, WriteAction
+
+
+def entry(key, wall_s=0.0):
+    record = ClaimRecord(
+        claim_id(key, "/orders", "c"), ClaimState.CLAIMED, "f", "c", "r", "node", wall_s
+    )
+    return Entry(record, new_writer())
+
+
+class UnfencedTable(MemoryTable):
+    """Appends without looking at the epoch."""
+
+    async def transact(self, writes, writer):
+        kept = [write for write in writes if write.action is not WriteAction.CHECK]
+        return await super().transact(kept, writer)
+
+
+def owners(table, count=2, flush_s=0.01):
+    objects = MemoryObjects()
+    made = [
+        ShardOwner(0, NodeId(f"n{number}"), table, objects, LoopWallClock(), flush_s)
+        for number in range(count)
+    ]
+    return objects, made
+
+
+async def claim_after_compaction(table):
+    """An owner wakes after another took over and compacted past its place in the journal."""
+    _, (old, new) = owners(table)
+    assert (await old.claim(entry("k0"))).status is ClaimStatus.GRANTED
+    for key in ("k1", "k2", "k3"):
+        assert (await new.claim(entry(key))).status is ClaimStatus.GRANTED
+    return (await old.claim(entry("k1"))).status
+
+
+def test_old_owner_cannot_grant_after_compaction(monkeypatch):
+    monkeypatch.setattr(journal, "ENTRIES_TO_COMPACT", 3)
+    assert run_virtual(claim_after_compaction(MemoryTable())) is not ClaimStatus.GRANTED
+    # Without the fence the same claim is granted twice, so the fence is what prevents it.
+    assert run_virtual(claim_after_compaction(UnfencedTable())) is ClaimStatus.GRANTED
+
+
+def test_claims_are_written_in_batches():
+    async def run():
+        table = MemoryTable()
+        _, (owner, _) = owners(table)
+        await owner.claim(entry("first"))
+        before = table.writes
+        replies = await asyncio.gather(*(owner.claim(entry(f"k{n}")) for n in range(100)))
+        assert {reply.status for reply in replies} == {ClaimStatus.GRANTED}
+        assert table.writes - before == 1
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("entries_to_compact", [5, 10_000])
+def test_new_owner_knows_what_the_old_one_granted(monkeypatch, entries_to_compact):
+    monkeypatch.setattr(journal, "ENTRIES_TO_COMPACT", entries_to_compact)
+
+    async def run():
+        table = MemoryTable()
+        objects, (old, new) = owners(table)
+        for number in range(20):
+            await old.claim(entry(f"k{number}"))
+        for number in range(20):
+            reply = await new.claim(entry(f"k{number}"))
+            assert reply.status is ClaimStatus.HELD
+        state = await read_shard(table, objects, 0)
+        assert len(state.entry_by_id) == 20
+        shards = 1
+        assert shard_of(entry("k7").record.id, shards) == 0
+        assert len(await journal_trail(table, objects, shards, "k7")) == 1
+
+    run_virtual(run())
+
+
+def test_old_claims_are_dropped_with_a_snapshot(monkeypatch):
+    monkeypatch.setattr(journal, "ENTRIES_TO_COMPACT", 5)
+    monkeypatch.setattr(journal, "RETENTION_S", 100.0)
+
+    async def run():
+        table = MemoryTable()
+        objects, (owner, _) = owners(table)
+        for number in range(5):
+            await owner.claim(entry(f"old{number}", 0.0))
+        await asyncio.sleep(200)
+        for number in range(6):
+            await owner.claim(entry(f"new{number}", 200.0))
+        state = await read_shard(table, objects, 0)
+        kept = [item.record.claimed_wall_s for item in state.entry_by_id.values()]
+        assert kept == [200.0] * 6
+
+    run_virtual(run())
+
+
+def test_unknown_append_costs_the_epoch_and_settles():
+    async def run():
+        table = MemoryTable()
+        _, (owner, _) = owners(table)
+        await owner.claim(entry("k0"))
+        table.faults.queue([Fault.LATE] * 3 + [Fault.DOWN])
+        lost = entry("k1")
+        assert (await owner.claim(lost)).status is ClaimStatus.UNSETTLED
+        assert not owner.owned
+        void = Entry(
+            ClaimRecord(
+                lost.record.id, ClaimState.VOID, "f", "c", "r", "node", 0.0, ended_wall_s=1.0
+            ),
+            lost.writer,
+        )
+        assert await owner.finish(void, withdraw=True)
+        await asyncio.sleep(10)
+        assert (await owner.claim(entry("k1"))).status is ClaimStatus.GRANTED
+
+    run_virtual(run())
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,11 +6,13 @@
 
 import aiohttp
 import pytest
+from conftest import SMALL, Harness
 from helpers import raw_exchange, read_request
 from yarl import URL
 
 from peridottrack.call import DEADLINE_HEADER
 from peridottrack.config import parse_endpoint
+from peridottrack.standin.cluster import Cluster
 from peridottrack.standin.faults import Fault as StoreFault
 from peridottrack.standin.upstream import Fault
 
@@ -297,3 +299,17 @@
     assert crashed == 2
     assert statuses[-1] == "held_off"
     assert (await get(harness, "/siparis/mine"))[0] == 200
+
+
+async def test_order_runs_once_with_journals():
+    cluster = Cluster(SMALL, service_s=0.002, claims="journal", claim_flush_s=0.005)
+    await cluster.start()
+    async with aiohttp.ClientSession() as session:
+        harness = Harness(cluster, session)
+        for number in range(6):
+            headers = {**ORDER_HEADERS, "Idempotency-Key": f"j-{number}"}
+            answers = [await order(harness, turn, headers=headers) for turn in range(3)]
+            assert [status for status, _, _ in answers] == [200, 200, 200]
+            assert len({body for _, _, body in answers}) == 1
+            assert cluster.ledger.runs_by_key[f"j-{number}"] == 1
+    await cluster.stop()
