--- a/bench/claims.py
+++ b/bench/claims.py
@@ -13,7 +13,8 @@
 from peridottrack import journal
 from peridottrack.claims import ClaimRecord, ClaimState, ClaimStore, RowClaims, claim_id
 from peridottrack.clock import LoopClock, run_virtual
-from peridottrack.journal import Entry, JournalClaims, ShardOwner, read_shard
+from peridottrack.journal import JournalClaims, ShardOwner
+from peridottrack.shards import Entry, read_shard
 from peridottrack.standin.cluster import Cluster
 from peridottrack.standin.deployments import BUZULIP
 from peridottrack.standin.memory import MemoryObjects, MemoryTable
--- a/bench/dist.py
+++ b/bench/dist.py
@@ -14,8 +14,8 @@
 
 import psutil
 
-from bench.processes import HOST, MIB, program
-from peridottrack.standin.deployments import BUZULIP, free_ports, node_settings
+from bench.processes import MIB, program
+from peridottrack.standin.deployments import BUZULIP, HOST, free_ports, node_settings
 
 TARGET = Path("dist/peridottrack")
 RUN_S = 4.0
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -9,26 +9,30 @@
 import argparse
 import asyncio
 import random
-import sys
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 import aiohttp
 
 from bench.processes import (
-    HOST,
     accept_document,
     cpu_s,
+    module,
     node_program,
     program,
     resident_mib,
     until_answered,
 )
-from peridottrack.standin.deployments import BUZULIP, free_ports, node_settings
+from bench.report import Report
+from peridottrack.standin.deployments import BUZULIP, HOST, free_ports, node_settings
 
 CALLS_PER_S = 210.0
 BODY = b"x" * 512
 TARGET_ADDED_P99_MS = 0.73
+TARGET_CONTROL_SHARE = 0.036
+TARGET_MEMORY_MIB = 128.0
+IDLE_S = 5.0
 SEED = 7
 PATH = "/katalog/ip-9"
 
@@ -88,70 +92,73 @@
 
 async def measure(seconds: float) -> bool:
     """Run the benchmark; False if the target was missed."""
-    ports = free_ports(6)
+    ports = free_ports(7)
     platform_url = f"http://{HOST}:{ports[4]}"
     settings = node_settings(BUZULIP, BUZULIP.domains[0], platform_url, ports[:4])
     direct = Load(f"http://{HOST}:{ports[5]}{PATH}", [])
+    bare = Load(f"http://{HOST}:{ports[6]}{PATH}", [])
     hop = Load(f"http://{settings.callers_address}{PATH}", [])
     upstream = (
         "standin", "upstream", "--listen", f"{HOST}:{ports[5]}",
         "--announce", settings.announce_address, "--service", "katalog", "--service-ms", "0",
     )  # fmt: skip
-    with program("standin", "platform", "--listen", f"{HOST}:{ports[4]}"):
+    with ExitStack() as stack:
+        stack.enter_context(program("standin", "platform", "--listen", f"{HOST}:{ports[4]}"))
         await accept_document(platform_url, BUZULIP)
-        with node_program(settings) as node:
-            async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
-                await until_answered(session, f"http://{settings.admin_address}/version")
-                with program(*upstream):
-                    await until_answered(session, hop.url)
-                    await paced(session, [direct, hop], 2.0)
-                    direct.latencies_s.clear()
-                    hop.latencies_s.clear()
-                    cpu_before, started = cpu_s(node), time.perf_counter()
-                    await paced(session, [direct, hop], seconds)
-                    used_s = cpu_s(node) - cpu_before
-                    passed_s = time.perf_counter() - started
-                    memory = resident_mib(node)
-                    idle_before = cpu_s(node)
-                    await asyncio.sleep(5.0)
-                    idle_share = (cpu_s(node) - idle_before) / 5.0
-                    rate = await highest_rate(session, hop.url, 3.0)
-    return report(direct, hop, used_s, passed_s, memory, idle_share, rate)
-
-
-def report(
-    direct: Load,
-    hop: Load,
-    used_s: float,
-    passed_s: float,
-    memory: float,
-    idle_share: float,
-    rate: float,
-) -> bool:
-    """Print the figures beside their targets; False if one was missed."""
-    added = {share: hop.quantile_ms(share) - direct.quantile_ms(share) for share in (0.5, 0.99)}
-    calls = len(hop.latencies_s)
-    own_us = (used_s - idle_share * passed_s) / calls * 1e6
-    kept = added[0.99] <= TARGET_ADDED_P99_MS
-    print(f"calls: {calls} through the node in {passed_s:.1f} s, as many directly")
-    print(f"direct: p50 {direct.quantile_ms(0.5):.2f} ms, p99 {direct.quantile_ms(0.99):.2f} ms")
-    print(f"hop:    p50 {hop.quantile_ms(0.5):.2f} ms, p99 {hop.quantile_ms(0.99):.2f} ms")
-    print(
-        f"added:  p50 {added[0.5]:.2f} ms, p99 {added[0.99]:.2f} ms (target {TARGET_ADDED_P99_MS})"
-    )
-    print(f"processor: {own_us:.0f} us a call, idle {idle_share:.1%} of a core")
-    print(f"memory: {memory:.0f} MiB resident")
-    print(f"highest rate: {rate:.0f} calls/s")
-    print("target kept" if kept else "TARGET MISSED: added p99")
-    return kept
+        node = stack.enter_context(node_program(settings))
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+            await until_answered(session, f"http://{settings.admin_address}/version")
+            stack.enter_context(program(*upstream))
+            relay = stack.enter_context(module("bench.relay", str(ports[6]), direct.url))
+            await until_answered(session, hop.url)
+            await until_answered(session, bare.url)
+            loads = [direct, bare, hop]
+            await paced(session, loads, 2.0)
+            for load in loads:
+                load.latencies_s.clear()
+            began, before, before_relay = time.perf_counter(), cpu_s(node), cpu_s(relay)
+            await paced(session, loads, seconds)
+            calls = len(hop.latencies_s)
+            passed_s = time.perf_counter() - began
+            used_s, used_relay_s = cpu_s(node) - before, cpu_s(relay) - before_relay
+            idle_before = cpu_s(node)
+            await asyncio.sleep(IDLE_S)
+            idle_share = (cpu_s(node) - idle_before) / IDLE_S
+            rate = await highest_rate(session, hop.url, 3.0)
+            bare_rate = await highest_rate(session, bare.url, 3.0)
+            report = Report()
+            for load in loads:
+                print(f"{load.url}: {len(load.latencies_s)} calls")
+            print_added(report, direct, bare, hop)
+            own_us = (used_s - idle_share * passed_s) / calls * 1e6
+            print(f"processor: {own_us:.0f} us a call, bare relay {used_relay_s / calls * 1e6:.0f}")
+            print(f"idle: {idle_share:.1%} of a core; memory {resident_mib(node):.0f} MiB")
+            print(f"highest rate: {rate:.0f} calls/s, bare relay {bare_rate:.0f}")
+            report.check("idle share of a core", idle_share, TARGET_CONTROL_SHARE)
+            report.check("memory MiB", resident_mib(node), TARGET_MEMORY_MIB)
+    report.finish(f"seed {SEED}")
+    return not report.missed
+
+
+def print_added(report: Report, direct: Load, bare: Load, hop: Load) -> None:
+    """Print what a hop adds, beside the bare relay and the target."""
+    for share in (0.5, 0.99):
+        base_ms = direct.quantile_ms(share)
+        added_ms = hop.quantile_ms(share) - base_ms
+        bare_ms = bare.quantile_ms(share) - base_ms
+        print(
+            f"p{share * 100:.0f}: direct {base_ms:.2f} ms, added by a hop {added_ms:.2f} ms,"
+            f" by the bare relay {bare_ms:.2f} ms, ratio {added_ms / bare_ms:.2f}"
+        )
+        if share == 0.99:
+            report.check("added at p99, ms", added_ms, TARGET_ADDED_P99_MS)
 
 
 def main() -> None:
     """Run from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15.0)
-    seconds = parser.parse_args().seconds
-    sys.exit(0 if asyncio.run(measure(seconds)) else 1)
+    asyncio.run(measure(parser.parse_args().seconds))
 
 
 if __name__ == "__main__":
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,7 +17,7 @@
 from peridottrack.config import Settings
 from peridottrack.platform_http import HttpTable
 from peridottrack.revisions import Edit, accept
-from peridottrack.standin.deployments import HOST, Deployment
+from peridottrack.standin.deployments import Deployment
 from peridottrack.types import SectionName
 
 STOP_S = 10.0
@@ -28,8 +28,15 @@
 @contextmanager
 def program(*arguments: str) -> Iterator[psutil.Process]:
     """Run ``peridottrack`` with arguments until the block ends."""
+    with module("peridottrack", *arguments) as process:
+        yield process
+
+
+@contextmanager
+def module(name: str, *arguments: str) -> Iterator[psutil.Process]:
+    """Run a module as a program until the block ends."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "peridottrack", *arguments],
+        [sys.executable, "-m", name, *arguments],
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     )
@@ -86,14 +93,3 @@
     """Return the processor time that a process has used."""
     times = process.cpu_times()
     return times.user + times.system
-
-
-__all__ = [
-    "HOST",
-    "accept_document",
-    "cpu_s",
-    "node_program",
-    "program",
-    "resident_mib",
-    "until_answered",
-]
--- a/peridottrack/admin.py
+++ b/peridottrack/admin.py
@@ -16,9 +16,10 @@
 from peridottrack.controllers.announce import AnnounceController, Announcement
 from peridottrack.controllers.document import DocumentController
 from peridottrack.controllers.members import MembersController
-from peridottrack.journal import Entry, JournalClaims
+from peridottrack.journal import JournalClaims
 from peridottrack.metrics import Metrics
 from peridottrack.revisions import Head
+from peridottrack.shards import Entry
 from peridottrack.types import InstanceId, NodeId, SectionName
 
 PEER_TIMEOUT_S = 1.0
--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import sys
@@ -16,7 +15,6 @@
 import click
 
 from peridottrack import __version__, log
-from peridottrack.claims import TrailLine, record_for_trace, trail
 from peridottrack.config import Settings, load_settings, parse_endpoint
 from peridottrack.debug import quieten_garbage_collection
 from peridottrack.document import parse_document
@@ -30,10 +28,10 @@
     PromiseBroken,
     StoreUnavailable,
 )
-from peridottrack.journal import journal_trail
-from peridottrack.platform_http import HttpObjects, HttpTable
+from peridottrack.platform_http import HttpTable
 from peridottrack.revisions import Edit, accept, read_head, read_history, read_revision
 from peridottrack.status import gather_status
+from peridottrack.trace import read_trail, trace_json, trace_text
 from peridottrack.types import SectionName, TableStore
 
 EXIT_CODE_BY_ERROR: dict[type[PeridottrackError], int] = {
@@ -174,7 +172,11 @@
 @platform_option
 def trace(key: str, as_json: bool, shards: int | None, platform_url: str) -> None:
     """Show what became of the calls with an Idempotency-Key."""
-    asyncio.run(_trace(platform_url, shards, key, as_json))
+    lines = asyncio.run(read_trail(platform_url, ADMIN_TIMEOUT_S, shards, key))
+    for line in lines:
+        click.echo(trace_json(line) if as_json else trace_text(line))
+    if not lines:
+        click.echo("no claim with this key")
 
 
 @cli.group()
@@ -315,41 +317,6 @@
         click.echo(f"{name}: {len(nodes)} nodes {' '.join(nodes)}".rstrip())
 
 
-async def _trace(platform_url: str, shards: int | None, key: str, as_json: bool) -> None:
-    async with aiohttp.ClientSession() as session:
-        table = HttpTable(session, platform_url, "peridottrack", ADMIN_TIMEOUT_S)
-        lines = [line async for line in trail(table, key)]
-        if shards is not None:
-            objects = HttpObjects(session, platform_url, "peridottrack", ADMIN_TIMEOUT_S)
-            lines += await journal_trail(table, objects, shards, key)
-    for line in lines:
-        click.echo(_trace_json(line) if as_json else _trace_text(line))
-    if not lines:
-        click.echo("no claim with this key")
-
-
-def _trace_json(line: TrailLine) -> str:
-    if line.record is not None:
-        return json.dumps(record_for_trace(line.record))
-    return json.dumps({"wall_s": line.wall_s, "note": line.note})
-
-
-def _trace_text(line: TrailLine) -> str:
-    when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(line.wall_s))
-    if line.record is None:
-        return f"{when} UTC    {line.note}"
-    record = line.record
-    rows = [
-        f"{when} UTC  claimed by {record.node} for credential {record.credential}",
-        f"    request    {record.request_id}",
-        f"    dispatched {', '.join(record.instances) or 'to nobody'}",
-        f"    state      {record.state.value}",
-    ]
-    if record.answer:
-        rows.append(f"    answered   status {record.answer.status}")
-    return "\n".join(rows)
-
-
 async def _get_text(url: str) -> str:
     timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
     try:
--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -10,10 +10,9 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from peridottrack import log
@@ -24,147 +23,34 @@
     ClaimState,
     ClaimStatus,
     Ticket,
-    TrailLine,
-    hash_key,
 )
 from peridottrack.exceptions import StoreUnavailable
-from peridottrack.store import new_writer, scan, transact_settled
+from peridottrack.shards import (
+    Entry,
+    ShardState,
+    body_of,
+    entry_key,
+    fence_key,
+    read_shard,
+    shard_of,
+    snapshot_key,
+)
+from peridottrack.store import new_writer, transact_settled
 from peridottrack.types import (
     ABSENT,
     Clock,
     NodeId,
     ObjectStore,
-    RowKey,
     TableStore,
     Write,
     WriteAction,
     WriteOutcome,
-    WriterId,
 )
 
 BATCH_MAX = 500
 ENTRIES_TO_COMPACT = 1_000
 DELETES_PER_TRANSACTION = 50
 RETENTION_S = 24 * 3600.0
-ENTRY_PREFIX = "entry/"
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One claim's newest state in a journal.
-
-    Parameters
-    ----------
-    writer
-        The ticket that may change the claim.
-    """
-
-    record: ClaimRecord
-    writer: WriterId
-
-    def to_data(self) -> dict[str, str]:
-        """Return the entry for JSON."""
-        record = base64.b64encode(self.record.encode()).decode()
-        return {"record": record, "writer": self.writer}
-
-    @staticmethod
-    def from_data(data: dict[str, str]) -> Entry:
-        """Read an entry."""
-        record = ClaimRecord.decode(base64.b64decode(data["record"]))
-        return Entry(record, WriterId(data["writer"]))
-
-
-@dataclass(slots=True)
-class ShardState:
-    """All that the table and the object store hold of one shard.
-
-    Parameters
-    ----------
-    next_sequence
-        Number of the row that is appended next.
-    first_sequence
-        Number of the first row that is not in the snapshot.
-    """
-
-    entry_by_id: dict[str, Entry] = field(default_factory=dict)
-    first_sequence: int = 1
-    next_sequence: int = 1
-    snapshot_version: int = ABSENT
-
-
-def shard_of(claim: ClaimId, shards: int) -> int:
-    """Return the shard of a claim; all scopes of a key share it."""
-    return int(claim.key[:8], 16) % shards
-
-
-def partition_of(shard: int) -> str:
-    """Return the table's partition of a shard."""
-    return f"shard/{shard:04d}"
-
-
-def entry_key(shard: int, sequence: int) -> RowKey:
-    """Return where a journal row lives."""
-    return RowKey(partition_of(shard), f"{ENTRY_PREFIX}{sequence:012d}")
-
-
-def fence_key(shard: int) -> RowKey:
-    """Return where the fence lives; its version is the epoch."""
-    return RowKey(partition_of(shard), "fence")
-
-
-def snapshot_key(shard: int) -> RowKey:
-    """Return where the pointer to the newest snapshot lives."""
-    return RowKey(partition_of(shard), "snapshot")
-
-
-async def read_shard(table: TableStore, objects: ObjectStore, shard: int) -> ShardState:
-    """Read a shard's snapshot and journal.
-
-    Raises
-    ------
-    StoreUnavailable
-        If a store does not answer.
-    """
-    state = ShardState()
-    pointer = await table.get(snapshot_key(shard))
-    if pointer is not None:
-        told = json.loads(pointer.value)
-        body = await objects.get(told["object"])
-        if body is None:
-            raise StoreUnavailable(f"snapshot {told['object']} is missing")
-        _take_in(state, body)
-        state.snapshot_version = pointer.version
-        state.first_sequence = state.next_sequence = told["next_sequence"]
-    after = entry_key(shard, state.first_sequence - 1).sort
-    async for row in scan(table, partition_of(shard), after):
-        if not row.key.sort.startswith(ENTRY_PREFIX):
-            break
-        _take_in(state, row.value)
-        state.next_sequence = int(row.key.sort.removeprefix(ENTRY_PREFIX)) + 1
-    return state
-
-
-async def journal_trail(
-    table: TableStore, objects: ObjectStore, shards: int, key: str
-) -> list[TrailLine]:
-    """Read what the journals know of an Idempotency-Key."""
-    hashed = hash_key(key)
-    state = await read_shard(table, objects, shard_of(ClaimId(hashed, ""), shards))
-    return [
-        TrailLine(entry.record, wall_s=entry.record.claimed_wall_s)
-        for text, entry in state.entry_by_id.items()
-        if text.startswith(hashed)
-    ]
-
-
-def _take_in(state: ShardState, body: bytes) -> None:
-    for data in json.loads(body):
-        entry = Entry.from_data(data)
-        state.entry_by_id[entry.record.id.text] = entry
-
-
-def _body_of(entries: list[Entry]) -> bytes:
-    return json.dumps([entry.to_data() for entry in entries]).encode()
 
 
 @dataclass(slots=True)
@@ -289,7 +175,7 @@
         proof = entry_key(self._shard, state.next_sequence)
         writes = [
             Write(WriteAction.CHECK, fence_key(self._shard), self._epoch),
-            Write(WriteAction.PUT, proof, ABSENT, _body_of(entries)),
+            Write(WriteAction.PUT, proof, ABSENT, body_of(entries)),
         ]
         settled = await transact_settled(self._table, writes, proof, new_writer())
         if settled.outcome is WriteOutcome.APPLIED:
@@ -338,7 +224,7 @@
             if (entry.record.ended_wall_s or entry.record.claimed_wall_s) >= oldest_s
         }
         name = f"claims/{self._shard:04d}/{self._epoch:06d}-{state.next_sequence:012d}"
-        body = _body_of(list(kept.values()))
+        body = body_of(list(kept.values()))
         if await self._objects.put_if_absent(name, body) is not WriteOutcome.APPLIED:
             return
         pointer = {"object": name, "next_sequence": state.next_sequence}
--- a/peridottrack/membership.py
+++ b/peridottrack/membership.py
@@ -10,11 +10,8 @@
 
 from __future__ import annotations
 
-import bisect
-import hashlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from functools import lru_cache
 
 from peridottrack.messages import (
     Ack,
@@ -28,6 +25,7 @@
     Rumor,
     Send,
 )
+from peridottrack.roster import BUCKET_COUNT, GONE_STATES, Roster
 from peridottrack.types import NodeId, Random
 
 TICK_S = 0.25
@@ -44,29 +42,11 @@
 DATAGRAM_ROOM_BYTES = 1_150
 UPDATE_BYTES = 75
 INSTANCE_BYTES = 60
-BUCKET_COUNT = 32
 MISMATCHES_TO_COMPARE = 3
 COMPARE_GAP_S = 2.0
 RECONTACT_GAP_S = 5.0
 FORGET_S = 6 * 3600.0
 PAUSE_S = 1.0
-HASH_BYTES = 8
-
-GONE_STATES = frozenset({MemberState.DEAD, MemberState.LEFT})
-
-
-@dataclass(slots=True)
-class Member:
-    """What this node believes of another.
-
-    Parameters
-    ----------
-    since
-        Local time of the last change of state.
-    """
-
-    update: MemberUpdate
-    since: float
 
 
 @dataclass(slots=True)
@@ -112,7 +92,7 @@
         self._ticked_at: float | None = None
         self._now = 0.0
         self._number = 0
-        self._ring: list[tuple[int, NodeId]] = []
+        self._roster = Roster()
         self._probe_by_number: dict[int, _Probe] = {}
         self._spread_by_node: dict[NodeId, _Spread] = {}
         self._version_rounds_left = 0
@@ -120,14 +100,12 @@
         self._compared_at = float("-inf")
         self._recontacted_at = 0.0
         self._leaving = False
-        self._bucket_digests = [0] * BUCKET_COUNT
-        self._digest = 0
         self._suspected_since: dict[NodeId, float] = {}
         self._answered_at = 0.0
         self.document_version = 0
-        self.member_by_node: dict[NodeId, Member] = {}
+        self.member_by_node = self._roster.member_by_node
         self.me = me
-        self._put(me)
+        self._roster.put(me, self._now)
 
     # -- what this node says of itself -------------------------------------------------
 
@@ -178,15 +156,11 @@
 
     def present(self) -> list[MemberUpdate]:
         """Return all nodes that are not gone, this one included."""
-        return [
-            member.update
-            for member in self.member_by_node.values()
-            if member.update.state not in GONE_STATES
-        ]
+        return self._roster.present()
 
     def digest(self) -> int:
         """Return a digest of the whole view, equal in nodes that agree."""
-        return self._digest
+        return self._roster.digest
 
     # -- time --------------------------------------------------------------------------
 
@@ -213,7 +187,7 @@
         for update in message.updates:
             self._take_in(update)
         body = message.body
-        if message.sender not in self.member_by_node and len(self._ring) == 1:
+        if message.sender not in self.member_by_node and len(self._roster) == 1:
             # This node knows nobody, so it joins through the first one that it hears.
             self._send(message.sender, Pull(tuple(range(BUCKET_COUNT))), (self.me,))
         if isinstance(body, Ping):
@@ -231,24 +205,11 @@
     # -- pings -------------------------------------------------------------------------
 
     def _ping_neighbour(self) -> None:
-        neighbours = self._neighbours(2)
+        neighbours = self._roster.after(self.me.node, 2)
         if neighbours:
             turn = self._tick // PING_EVERY_TICKS
             self._probe(neighbours[turn % len(neighbours)])
 
-    def _neighbours(self, count: int) -> list[NodeId]:
-        """Return the nodes that come next on the ring."""
-        ring = self._ring
-        position = bisect.bisect_right(ring, (_hash(self.me.node), self.me.node))
-        found: list[NodeId] = []
-        for step in range(len(ring)):
-            node = ring[(position + step) % len(ring)][1]
-            if node != self.me.node:
-                found.append(node)
-            if len(found) == count:
-                break
-        return found
-
     def _probe(
         self,
         target: NodeId,
@@ -294,7 +255,7 @@
         self._ask_helpers(number, probe.target)
 
     def _ask_helpers(self, number: int, target: NodeId) -> None:
-        for helper in self._random_nodes(INDIRECT_NODES, exclude=target):
+        for helper in self._sample(INDIRECT_NODES, exclude=target):
             self._send(helper, PingRequest(number, target))
 
     def _suspect(self, node: NodeId) -> None:
@@ -304,7 +265,7 @@
 
     def _check_suspicions(self) -> None:
         # A node that nobody answers is itself cut off, and must not accuse the rest.
-        isolated = self._now - self._answered_at > ISOLATED_S and len(self._ring) > 2
+        isolated = self._now - self._answered_at > ISOLATED_S and len(self._roster) > 2
         for node, since in list(self._suspected_since.items()):
             member = self.member_by_node.get(node)
             if member is None or member.update.state is not MemberState.ALIVE:
@@ -327,7 +288,7 @@
             if member.update.state not in GONE_STATES:
                 continue
             if self._now - member.since > FORGET_S:
-                self._remove(node)
+                self._forget(node)
             elif member.update.state is MemberState.DEAD:
                 gone.append(member.update)
         if gone:
@@ -343,7 +304,7 @@
         known = self.member_by_node.get(update.node)
         if known is not None and not update.beats(known.update):
             return
-        self._put(update)
+        self._roster.put(update, self._now)
         self._spread(update.node)
         self._changed(update)
 
@@ -355,7 +316,7 @@
 
     def _say_of_me(self, me: MemberUpdate) -> None:
         self.me = me
-        self._put(me)
+        self._roster.put(me, self._now)
         self._spread(me.node)
         self._changed(me)
 
@@ -395,7 +356,7 @@
             if spread.rounds_left <= 0:
                 del self._spread_by_node[node]
             updates.append(self.member_by_node[node].update)
-        for receiver in self._random_nodes(FANOUT, exclude=self.me.node):
+        for receiver in self._sample(FANOUT, exclude=self.me.node):
             self._send(receiver, Rumor(), tuple(updates))
         for update in updates:
             # The one concerned must hear it, or it could not refute.
@@ -421,13 +382,13 @@
         lasting = self._mismatches >= MISMATCHES_TO_COMPARE
         if lasting and self._now - self._compared_at >= COMPARE_GAP_S:
             self._compared_at = self._now
-            self._send(message.sender, Buckets(tuple(self._bucket_digests)))
+            self._send(message.sender, Buckets(tuple(self._roster.bucket_digests)))
 
     def _pull_differing(self, sender: NodeId, body: Buckets) -> None:
         differing = [
             index
             for index, digest in enumerate(body.digests[:BUCKET_COUNT])
-            if digest != self._bucket_digests[index]
+            if digest != self._roster.bucket_digests[index]
         ]
         if differing:
             self._send(sender, Pull(tuple(differing)))
@@ -437,54 +398,19 @@
         self._send_buckets(sender, body.buckets)
 
     def _send_buckets(self, receiver: NodeId, buckets: Iterable[int]) -> None:
-        wanted = set(buckets)
-        updates = [
-            member.update for node, member in self.member_by_node.items() if _bucket(node) in wanted
-        ]
-        nodes = [update.node for update in updates]
+        nodes = self._roster.in_buckets(buckets)
         while batch := self._take_batch(nodes):
             told = tuple(self.member_by_node[node].update for node in batch)
             self._send(receiver, Rumor(), told)
 
-    # -- bookkeeping -------------------------------------------------------------------
-
-    def _put(self, update: MemberUpdate) -> None:
-        old = self.member_by_node.get(update.node)
-        change = _update_hash(update)
-        if old is not None:
-            change ^= _update_hash(old.update)
-        self._change_digest(update.node, change)
-        self.member_by_node[update.node] = Member(update, self._now)
-        self._place_on_ring(update.node, update.state not in GONE_STATES)
+    # -- sending ----------------------------------------------------------------------
 
-    def _remove(self, node: NodeId) -> None:
-        member = self.member_by_node.pop(node)
-        self._change_digest(node, _update_hash(member.update))
+    def _forget(self, node: NodeId) -> None:
+        self._roster.remove(node)
         self._spread_by_node.pop(node, None)
-        self._place_on_ring(node, False)
-
-    def _change_digest(self, node: NodeId, change: int) -> None:
-        self._bucket_digests[_bucket(node)] ^= change
-        self._digest ^= change
-
-    def _place_on_ring(self, node: NodeId, present: bool) -> None:
-        entry = (_hash(node), node)
-        index = bisect.bisect_left(self._ring, entry)
-        there = index < len(self._ring) and self._ring[index] == entry
-        if present and not there:
-            self._ring.insert(index, entry)
-        elif there and not present:
-            del self._ring[index]
-
-    def _random_nodes(self, count: int, exclude: NodeId) -> list[NodeId]:
-        chosen: list[NodeId] = []
-        for _ in range(min(len(self._ring), count * 3)):
-            node = self._ring[self._rng.randrange(len(self._ring))][1]
-            if node not in (exclude, self.me.node) and node not in chosen:
-                chosen.append(node)
-            if len(chosen) == count:
-                break
-        return chosen
+
+    def _sample(self, count: int, exclude: NodeId) -> list[NodeId]:
+        return self._roster.sample(count, (exclude, self.me.node), self._rng)
 
     def _next_number(self) -> int:
         self._number = (self._number + 1) & 0xFFFFFFFF
@@ -500,20 +426,6 @@
         self._send_out(receiver, message)
 
 
-@lru_cache(maxsize=8_192)
-def _hash(node: NodeId) -> int:
-    return int.from_bytes(hashlib.blake2b(node.encode(), digest_size=HASH_BYTES).digest(), "big")
-
-
 def _size(update: MemberUpdate) -> int:
     """Return roughly the bytes of an update in a datagram."""
     return UPDATE_BYTES + INSTANCE_BYTES * len(update.instances)
-
-
-def _bucket(node: NodeId) -> int:
-    return _hash(node) % BUCKET_COUNT
-
-
-def _update_hash(update: MemberUpdate) -> int:
-    text = f"{update.node} {update.incarnation} {update.state.value}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=HASH_BYTES).digest(), "big")
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -22,9 +22,10 @@
 from peridottrack.filters.claim import ClaimFilter
 from peridottrack.filters.deadline import deadline_filter
 from peridottrack.filters.dispatch import check_in_time
-from peridottrack.journal import JournalClaims, read_shard
+from peridottrack.journal import JournalClaims
 from peridottrack.metrics import Metrics
 from peridottrack.poison import fingerprint
+from peridottrack.shards import read_shard
 from peridottrack.standin.faults import FaultPlan
 from peridottrack.standin.memory import MemoryObjects, MemoryTable
 from peridottrack.store import scan
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,8 @@
 from peridottrack import journal
 from peridottrack.claims import ClaimRecord, ClaimState, ClaimStatus, claim_id
 from peridottrack.clock import run_virtual
-from peridottrack.journal import Entry, ShardOwner, journal_trail, read_shard, shard_of
+from peridottrack.journal import ShardOwner
+from peridottrack.shards import Entry, journal_trail, read_shard, shard_of
 from peridottrack.standin.faults import Fault
 from peridottrack.standin.memory import MemoryObjects, MemoryTable
 from peridottrack.store import new_writer
