--- a/bench/members.py
+++ b/bench/members.py
@@ -238,7 +238,8 @@
         for pause in pauses:
             pause_s, removed, agree_s = pause.result()
             print(
-                f"frozen {pause_s:.0f} s: {removed} of 5 removed, agreement after {agree_s:.1f} s"
+                f"frozen {pause_s:.0f} s: {removed} of 5 still out 1.5 s after,"
+                f" agreement after {agree_s:.1f} s"
             )
         for nodes, domain in zip((100, 1_100), domains, strict=True):
             death_s, return_s = domain.result()
