Distance to other failure domains, learnt from pings; measuring budget 2 KB/s

Figures: test_nearest_first_and_spill_over: 40 calls in turn stay near, 20 at once spill over before the near instance is full.

Conclusion: nearest first by measured cost, within the byte limit by construction.

--- a/peridottrack/balancer.py
+++ b/peridottrack/balancer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
 from peridottrack.document import ServicePart
@@ -21,7 +21,7 @@
     SlowNews,
     new_view,
 )
-from peridottrack.types import Clock, Instance, InstanceId, InstanceState, Random
+from peridottrack.types import Clock, FailureDomain, Instance, InstanceId, InstanceState, Random
 
 CANDIDATES = 4
 USUAL_LATENCY_S = 0.02
@@ -58,8 +58,8 @@
     ----------
     part
         The service's limits in the document.
-    domain_cost_s
-        Seconds that a call to an instance of another failure domain costs more, one return trip.
+    distance_s
+        Returns the seconds that a call to a failure domain takes longer than one within the own.
     """
 
     def __init__(
@@ -67,13 +67,11 @@
         clock: Clock,
         rng: Random,
         part: ServicePart,
-        domain: str = "",
-        domain_cost_s: float = 0.0,
+        distance_s: Callable[[FailureDomain], float] = lambda domain: 0.0,
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._domain = domain
-        self._domain_cost_s = domain_cost_s
+        self._distance_s = distance_s
         self._numbers = itertools.count(1)
         self._rate = Rate()
         self.part = part
@@ -276,9 +274,7 @@
         busy = view.in_flight / share
         waiting = max(0.0, view.total_in_flight(now) + 1.0 - slots) / slots
         cost = expected_s * (1.0 + QUEUE_WEIGHT * busy + waiting)
-        if view.instance.domain != self._domain:
-            cost += self._domain_cost_s
-        return cost
+        return cost + self._distance_s(view.instance.domain)
 
     def _heeds_news(self, usual_s: float, now: float) -> bool:
         if usual_s < NEWS_MIN_SERVICE_S:
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -89,10 +89,10 @@
         4.0, ge=0.2, le=60, description="Seconds between two looks at the document."
     )
     measuring_messages_per_s: float = Field(
-        20.0, ge=0, le=1_000, description="Datagrams a second for measuring load."
+        16.0, ge=0, le=1_000, description="Datagrams a second for measuring load."
     )
     measuring_bytes_per_s: float = Field(
-        3_000.0,
+        2_000.0,
         ge=0,
         le=1_000_000,
         description="Bytes a second for measuring load, headers included.",
--- a/peridottrack/controllers/load.py
+++ b/peridottrack/controllers/load.py
@@ -9,6 +9,7 @@
 
 from peridottrack.balancer import AttemptResult, Balancer
 from peridottrack.call import Call
+from peridottrack.distance import Distances
 from peridottrack.document import Document, ServicePart
 from peridottrack.errors import ErrorKind
 from peridottrack.exceptions import RequestError
@@ -29,7 +30,6 @@
 
 WAKE_INTERVAL_S = 0.1
 ASSUMED_CALLERS_MAX = 16
-DOMAIN_COST_S = 0.003
 
 
 @dataclass(slots=True)
@@ -73,12 +73,15 @@
         This node, which decides its subset of the instances.
     domain
         Failure domain of this node.
+    distances
+        What other domains cost.
     """
 
     def __init__(
         self,
         node: NodeId,
         domain: str,
+        distances: Distances,
         queue_length: int,
         clock: Clock,
         rng: Random,
@@ -86,6 +89,7 @@
     ) -> None:
         self._node = node
         self._domain = domain
+        self._distances = distances
         self._queue_length = queue_length
         self._clock = clock
         self._rng = rng
@@ -236,7 +240,7 @@
         service.wake()
 
     def _new_service(self, part: ServicePart) -> Service:
-        balancer = Balancer(self._clock, self._rng, part, self._domain, DOMAIN_COST_S)
+        balancer = Balancer(self._clock, self._rng, part, self._distances.cost_s)
         return Service(balancer, DeadlineQueue(self._clock, self._queue_length))
 
 
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -13,6 +13,7 @@
 
 from peridottrack import log
 from peridottrack.datagrams import Datagrams
+from peridottrack.distance import Distances
 from peridottrack.exceptions import StoreUnavailable
 from peridottrack.membership import TICK_S, Membership
 from peridottrack.messages import (
@@ -89,9 +90,10 @@
         self._row_version = ABSENT
         self._publish_due = False
         self._owner_by_shard: dict[int, NodeId] = {}
+        self.distances = Distances(me.domain)
         self._node_by_instance: dict[InstanceId, NodeId] = {}
         self.reachable: BehaviorSubject[Reachable] = BehaviorSubject(Reachable())
-        self.membership = Membership(me, rng, datagrams.send, self._changed)
+        self.membership = Membership(me, rng, datagrams.send, self._changed, self._measured)
         datagrams.handle(MEMBERSHIP_BODIES, self._receive)
 
     async def join(self, seeds: Iterable[NodeId]) -> None:
@@ -175,6 +177,7 @@
         """Return the state for a dump."""
         return {
             "me": self.membership.me.node,
+            "distance_s": self.distances.dump(),
             "digest": f"{self.membership.digest():016x}",
             "members": {
                 node: {**_update_to_data(member.update), "since_s": round(member.since, 3)}
@@ -196,6 +199,9 @@
         if message.document_version > self.membership.document_version:
             self._version_heard(message.sender, message.document_version)
 
+    def _measured(self, update: MemberUpdate, round_trip_s: float) -> None:
+        self.distances.measured(update.domain, round_trip_s)
+
     def _changed(self, update: MemberUpdate) -> None:
         log.debug(
             "member",
--- a/peridottrack/membership.py
+++ b/peridottrack/membership.py
@@ -76,6 +76,8 @@
         Called for each message that has to go out; may drop it.
     changed
         Called with each update taken in.
+    measured
+        Called with a node and the seconds that a direct ping to it took.
     """
 
     def __init__(
@@ -84,10 +86,12 @@
         rng: Random,
         send: Send,
         changed: Callable[[MemberUpdate], None] = lambda update: None,
+        measured: Callable[[MemberUpdate, float], None] = lambda update, round_trip_s: None,
     ) -> None:
         self._rng = rng
         self._send_out = send
         self._changed = changed
+        self._measured = measured
         self._tick = 0
         self._ticked_at: float | None = None
         self._now = 0.0
@@ -234,6 +238,9 @@
             return
         self._answered_at = self._now
         self._suspected_since.pop(probe.target, None)
+        member = self.member_by_node.get(probe.target)
+        if member is not None and not probe.indirect:
+            self._measured(member.update, self._now - probe.sent_at)
         if probe.on_behalf_of is not None:
             requester, number = probe.on_behalf_of
             self._send(requester, Ack(number))
@@ -294,6 +301,9 @@
         if gone:
             update = gone[self._rng.randrange(len(gone))]
             self._send(update.node, Ping(self._next_number()), (self.me, update))
+        for node in self._sample(1, exclude=self.me.node):
+            # Any node, not only the neighbours, so that all distances get known.
+            self._probe(node)
 
     # -- news --------------------------------------------------------------------------
 
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -147,7 +147,13 @@
         )
         peers.members = self.members
         self.load = LoadController(
-            me.node, settings.failure_domain, settings.queue_length, clock, rng, metrics
+            me.node,
+            settings.failure_domain,
+            self.members.distances,
+            settings.queue_length,
+            clock,
+            rng,
+            metrics,
         )
         host = parse_endpoint(settings.announce_address).host
         self.announce = AnnounceController(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -14,6 +14,7 @@
 from peridottrack.balancer import AttemptResult, Balancer
 from peridottrack.bucket import MeasuringBudget, TokenBucket
 from peridottrack.clock import ManualClock
+from peridottrack.distance import Distances
 from peridottrack.document import ServicePart
 from peridottrack.ejection import EjectionState, ejections_allowed
 from peridottrack.limiter import AdaptiveLimit, DeadlineQueue
@@ -22,7 +23,7 @@
 from peridottrack.signals import SlowNews
 from peridottrack.slowness import LATE_S, SlownessDetector
 from peridottrack.subset import choose_subset
-from peridottrack.types import InstanceId, NodeId
+from peridottrack.types import FailureDomain, InstanceId, NodeId
 
 STEPS = settings(
     max_examples=60,
@@ -164,6 +165,23 @@
     assert max(far) < 3 * (sum(far) / len(far))
 
 
+def test_nearest_first_and_spill_over(clock):
+    distances = Distances(FailureDomain("a"))
+    for _ in range(50):
+        distances.measured(FailureDomain("a"), 0.0002)
+        distances.measured(FailureDomain("b"), 0.0032)
+    assert distances.cost_s(FailureDomain("a")) == 0
+    assert 0.0025 < distances.cost_s(FailureDomain("b")) < 0.0035
+    balancer = Balancer(clock, random.Random(1), ServicePart(), distances.cost_s)
+    near, far = make_instance(0, domain="a"), make_instance(1, domain="b")
+    balancer.set_instances([near, far], callers=1)
+    # In turn they all go to the near one; at once they spill over before it is full.
+    assert run_calls(balancer, clock, {}, 40)[far.instance_id] == 0
+    attempts = [balancer.begin() for _ in range(20)]
+    chosen = Counter(attempt.instance.instance_id for attempt in attempts)
+    assert 0 < chosen[far.instance_id] < chosen[near.instance_id] < near.slots
+
+
 def test_poison_needs_two_instances_and_expires(clock):
     poison = PoisonList(clock)
     mark = fingerprint("GET", "/x", b"")
