Pauses after refusals scale with the service's latency

Change: a pause is a quarter of the usual latency, doubled with each refusal in a row, up to 32 times the usual latency.

--- a/peridottrack/balancer.py
+++ b/peridottrack/balancer.py
@@ -141,7 +141,7 @@
         elif result is AttemptResult.SHED:
             view.limit.shed(now)
             view.ejection.abandoned()
-            view.pause_after_shed(now, self._rng)
+            view.pause_after_shed(self.usual_latency_s(), now, self._rng)
         elif result in FAILURES:
             self._failed(view, now)
         else:
--- a/peridottrack/signals.py
+++ b/peridottrack/signals.py
@@ -15,8 +15,8 @@
 LATENCY_TRUST_S = 5.0
 LOAD_TRUST_S = 1.0
 RATE_TRUST_S = 2.0
-SHED_PAUSE_S = 0.01
-SHED_PAUSE_MAX_S = 0.5
+SHED_PAUSE_SHARE = 0.25
+SHED_DOUBLINGS_MAX = 7
 WINDOW = 256
 RESORT_AFTER = 16
 QUANTILE_MIN_SAMPLES = 32
@@ -98,14 +98,15 @@
     sheds_in_a_row: int = 0
     paused_until: float = float("-inf")
 
-    def pause_after_shed(self, now: float, rng: Random) -> None:
+    def pause_after_shed(self, usual_s: float, now: float, rng: Random) -> None:
         """Send nothing for a moment, longer with each refusal in a row.
 
         Otherwise an instance that refuses at once, and so has nothing in flight, would draw the
-        calls.
+        calls. A fast service gets over a full queue sooner, so its pauses are shorter.
         """
+        doublings = min(self.sheds_in_a_row, SHED_DOUBLINGS_MAX)
         self.sheds_in_a_row += 1
-        pause_s = min(SHED_PAUSE_MAX_S, SHED_PAUSE_S * 2.0 ** (self.sheds_in_a_row - 1))
+        pause_s = SHED_PAUSE_SHARE * usual_s * 2.0**doublings
         self.paused_until = now + pause_s * (0.5 + rng.random())
 
     def oldest_age_s(self, now: float) -> float:
