--- a/peridottrack/roster.py
+++ b/peridottrack/roster.py
@@ -36,7 +36,8 @@
     Attributes
     ----------
     digest
-        Equal in two rosters exactly if they hold the same updates, but for chance.
+        Equal in two rosters exactly if they hold the same updates of nodes that are not gone,
+        but for chance.
     bucket_digests
         The same for each of `BUCKET_COUNT` parts.
     """
@@ -128,5 +129,8 @@
 
 
 def _update_hash(update: MemberUpdate) -> int:
+    if update.state in GONE_STATES:
+        # Nodes forget the gone at different moments, which must not count as a difference.
+        return 0
     text = f"{update.node} {update.incarnation} {update.state.value}".encode()
     return int.from_bytes(hashlib.blake2b(text, digest_size=HASH_BYTES).digest(), "big")
--- a/peridottrack/wire.py
+++ b/peridottrack/wire.py
@@ -142,10 +142,6 @@
             raise DatagramRejected("replay")
         return message
 
-    def forget(self, sender: NodeId) -> None:
-        """Drop what is kept of a node that is gone for good."""
-        self._seen_by_sender.pop(sender, None)
-
 
 class _Seen:
     """Which sequence numbers of one sender came already, as a sliding bit window."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -236,3 +236,14 @@
     for index in (3, 0, 4, 1, 2):
         receiver.open(data[index])
     assert rejected(receiver, data[2]) == "replay"
+
+
+def test_dead_node_is_forgotten_by_all(monkeypatch):
+    """Nodes forget at different moments; those that still know must not bring it back."""
+    monkeypatch.setattr("peridottrack.membership.FORGET_S", 30.0)
+    network = Network(60, seed=9, loss=0.05)
+    network.run(3)
+    victim = member_update(4).node
+    network.stop(victim)
+    network.run(120)
+    assert not network.believed(victim)
