A first hour by hand: local settings, a section, and the commands that use them

Cause: the README's commands needed files that did not exist.

Change: examples for one node on one machine, checked by tests.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,6 +11,7 @@
 
 from peridottrack.cmdline import cli, main
 from peridottrack.config import read_settings, settings_reference
+from peridottrack.document import parse_section
 from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran, problem
 from peridottrack.exceptions import SettingsFaulty
 from peridottrack.metrics import Metrics
@@ -19,6 +20,11 @@
 OPERATORS = (ROOT / "docs/operators.md").read_text()
 
 
+def test_section_example_is_valid():
+    text = (ROOT / "examples/sections/stock.json").read_text()
+    assert parse_section(text, "stock").owners == ["stock-team"]
+
+
 @pytest.mark.parametrize("path", sorted((ROOT / "examples").glob("*.json")), ids=lambda p: p.name)
 def test_examples_are_valid(path):
     result = CliRunner().invoke(cli, ["check", str(path)])
