The platform's binding, its rates and the breaker have tests of their own

Cause: the HTTP binding and the stand-in's switches were only used through whole clusters.

Conclusion: another platform's module has a test to hold it to.

--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,122 @@
+"""The HTTP binding of the stores against the stand-in, and the circuit breaker."""
+
+from __future__ import annotations
+
+import random
+
+import aiohttp
+import pytest
+
+from peridottrack.clock import ManualClock
+from peridottrack.exceptions import StoreUnavailable
+from peridottrack.platform_http import HttpObjects, HttpTable
+from peridottrack.standin.faults import Fault
+from peridottrack.standin.platform import serve_platform
+from peridottrack.store import OPEN_MAX_S, Breaker, BreakerState, new_writer, scan
+from peridottrack.types import ABSENT, RowKey, Write, WriteAction, WriteOutcome
+
+
+@pytest.fixture
+async def platform():
+    standin, runner, port = await serve_platform("127.0.0.1", 0)
+    async with aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}"
+        yield standin, HttpTable(session, url, "t", 2.0), HttpObjects(session, url, "b", 2.0)
+    await runner.cleanup()
+
+
+def put(sort, expected=ABSENT, value=b"v"):
+    return Write(WriteAction.PUT, RowKey("p", sort), expected, value)
+
+
+async def test_transactions_hold_whole_or_not_at_all(platform):
+    _, table, _ = platform
+    assert await table.transact([put("a"), put("b")], new_writer()) is WriteOutcome.APPLIED
+    assert await table.transact([put("c"), put("a")], new_writer()) is WriteOutcome.CONFLICT
+    assert await table.get(RowKey("p", "c")) is None
+    check = Write(WriteAction.CHECK, RowKey("p", "a"), 1)
+    delete = Write(WriteAction.DELETE, RowKey("p", "b"), 1)
+    writer = new_writer()
+    assert await table.transact([check, delete, put("d")], writer) is WriteOutcome.APPLIED
+    row = await table.get(RowKey("p", "d"))
+    assert (row.value, row.version, row.writer) == (b"v", 1, writer)
+    assert [row.key.sort async for row in scan(table, "p")] == ["a", "d"]
+
+
+async def test_range_queries_come_in_pages(platform):
+    _, table, _ = platform
+    for number in range(25):
+        await table.transact([put(f"{number:03d}")], new_writer())
+    page = await table.query("p", "004", limit=10)
+    assert [row.key.sort for row in page.rows] == [f"{number:03d}" for number in range(5, 15)]
+    assert page.after == "014"
+    assert (await table.query("p", "020", limit=10)).after is None
+
+
+async def test_objects_are_put_once(platform):
+    _, _, objects = platform
+    assert await objects.put_if_absent("x/1", b"one") is WriteOutcome.APPLIED
+    assert await objects.put_if_absent("x/1", b"two") is WriteOutcome.CONFLICT
+    await objects.put_if_absent("x/2", b"three")
+    assert await objects.get("x/1") == b"one"
+    assert await objects.get("x/9") is None
+    assert await objects.list("x/") == ["x/1", "x/2"]
+    assert await objects.list("x/", after="x/1") == ["x/2"]
+    await objects.delete("x/1")
+    assert await objects.list("x/") == ["x/2"]
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome", "written"),
+    [
+        (Fault.DOWN, WriteOutcome.REFUSED, False),
+        (Fault.THROTTLED, WriteOutcome.REFUSED, False),
+        (Fault.LOST_BEFORE, WriteOutcome.UNKNOWN, False),
+        (Fault.LOST_AFTER, WriteOutcome.UNKNOWN, True),
+    ],
+)
+async def test_faults_are_told_truly(platform, fault, outcome, written):
+    standin, table, objects = platform
+    standin.faults.queue([fault])
+    assert await table.transact([put("a")], new_writer()) is outcome
+    assert (await table.get(RowKey("p", "a")) is not None) is written
+    standin.faults.queue([Fault.DOWN])
+    with pytest.raises(StoreUnavailable):
+        await table.get(RowKey("p", "a"))
+    standin.faults.queue([Fault.DOWN])
+    with pytest.raises(StoreUnavailable):
+        await objects.get("x")
+
+
+async def test_nobody_there_is_refused():
+    async with aiohttp.ClientSession() as session:
+        table = HttpTable(session, "http://127.0.0.1:1", "t", 1.0)
+        assert await table.transact([put("a")], new_writer()) is WriteOutcome.REFUSED
+
+
+async def test_the_briefs_rates_are_enforced(platform):
+    _, table, _ = platform
+    outcomes = [
+        await table.transact([put(f"{start + n}") for n in range(100)], new_writer())
+        for start in range(0, 1_500, 100)
+    ]
+    assert WriteOutcome.REFUSED in outcomes
+    assert outcomes[0] is WriteOutcome.APPLIED
+
+
+def test_breaker_lets_one_trial_through():
+    clock = ManualClock()
+    breaker = Breaker(clock, random.Random(1))
+    for _ in range(3):
+        assert breaker.allows()
+        breaker.failed()
+    assert breaker.state is BreakerState.OPEN
+    assert not breaker.allows()
+    clock.advance(OPEN_MAX_S * 2)
+    assert [breaker.allows() for _ in range(5)] == [True, False, False, False, False]
+    breaker.failed()
+    assert not breaker.allows()
+    clock.advance(OPEN_MAX_S * 2)
+    assert breaker.allows()
+    breaker.succeeded()
+    assert all(breaker.allows() for _ in range(5))
