Tests of header bounds, the admin address and strange announcements

Cause: three things of the whole path were built but shown by no test.

Change: 431 for too many header bytes, metrics and dump over the admin address, refusal of announcements that are wrong or from elsewhere.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
+from aiohttp.web import HTTPForbidden
 from conftest import SMALL, Harness
 from helpers import raw_exchange, read_request
 from yarl import URL
 
+from peridottrack.admin import announce_app
 from peridottrack.call import DEADLINE_HEADER
 from peridottrack.config import parse_endpoint
 from peridottrack.standin.cluster import Cluster
@@ -313,3 +317,37 @@
             assert len({body for _, _, body in answers}) == 1
             assert cluster.ledger.runs_by_key[f"j-{number}"] == 1
     await cluster.stop()
+
+
+async def test_too_many_header_bytes_are_refused(harness):
+    address = parse_endpoint(harness.node().node.settings.callers_address)
+    lines = "".join(f"X-{number}: {'v' * 7_000}\r\n" for number in range(6))
+    request = f"GET /siparis/mine HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{lines}\r\n"
+    answer = await raw_exchange(address.host, address.port, request.encode())
+    assert answer.startswith(b"HTTP/1.1 431 ")
+    assert b"Peridot-Ran: no" in answer
+
+
+async def test_admin_address_tells_metrics_and_state(harness):
+    await get(harness, "/siparis/mine")
+    admin = f"http://{harness.node().node.settings.admin_address}"
+    async with harness.session.get(admin + "/metrics") as answer:
+        metrics = await answer.text()
+    assert 'peridottrack_calls_total{outcome="ok",service="siparis"} 1.0' in metrics
+    async with harness.session.get(admin + "/dump") as answer:
+        dump = json.loads(await answer.text())
+    assert len(dump["load"]["siparis"]["instances"]) == 3
+    assert len(dump["members"]["members"]) == 3
+    assert dump["document"]["version"] == 1
+
+
+async def test_only_local_upstreams_may_announce(harness):
+    node = harness.node().node
+    announce = f"http://{node.settings.announce_address}/instances/strange"
+    said = {"service": "siparis", "port": 1, "slots": 0, "connections": 240}
+    async with harness.session.put(announce, json=said) as answer:
+        assert answer.status == 400
+    app = announce_app(node.announce, "10.9.9.9")
+    guard = app.middlewares[0]
+    with pytest.raises(HTTPForbidden):
+        await guard(SimpleNamespace(remote="10.1.1.1"), None)
