A body that comes too slowly ends at the deadline

Cause: the body was read before the deadline began to hold, so a caller that sent part of a body kept a request open for as long as it liked.

Change: reading the body is a filter of its own, after the deadline's; a body that ends early is told as a bad request.

--- /dev/null
+++ b/peridottrack/filters/body.py
@@ -0,0 +1,38 @@
+"""Reads a body that is small enough to be sent twice."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from peridottrack.call import Answer, Call, Proceed
+from peridottrack.document import RoutePart
+from peridottrack.errors import ErrorKind
+from peridottrack.exceptions import RequestError
+from peridottrack.poison import fingerprint
+
+MAX_BUFFERED_BYTES = 256 << 10
+
+
+async def body_filter(call: Call, proceed: Proceed) -> Answer:
+    """Read the body, within the deadline, and take the request's fingerprint."""
+    assert call.route is not None
+    request = call.request
+    try:
+        call.body = await _read_body(request, call.route)
+    except asyncio.IncompleteReadError:
+        raise RequestError(ErrorKind.BAD_REQUEST, "The body ended early.") from None
+    call.fingerprint = fingerprint(request.method, request.raw_path, call.body)
+    return await proceed(call)
+
+
+async def _read_body(request: web.BaseRequest, route: RoutePart) -> bytes | None:
+    if not request.body_exists:
+        return b""
+    length = request.content_length
+    if length is not None and length > route.max_body_bytes:
+        raise RequestError(ErrorKind.BODY_TOO_LARGE, f"At most {route.max_body_bytes} bytes.")
+    if length is None or length > MAX_BUFFERED_BYTES:
+        return None
+    return await request.content.readexactly(length) if length else b""
--- a/peridottrack/filters/route.py
+++ b/peridottrack/filters/route.py
@@ -1,4 +1,4 @@
-"""Reads a request and finds its route in the document."""
+"""Finds a request's route in the document."""
 
 from __future__ import annotations
 
@@ -11,15 +11,13 @@
 from peridottrack.document import Document, RoutePart
 from peridottrack.errors import ErrorKind
 from peridottrack.exceptions import RequestError
-from peridottrack.poison import fingerprint
 
 MAX_HEADER_BYTES = 32 << 10
-MAX_BUFFERED_BYTES = 256 << 10
 CREDENTIAL_DIGEST_BYTES = 12
 
 
 class RouteFilter:
-    """Finds the route and reads a body that is small enough to be sent twice."""
+    """Finds the route, and who calls."""
 
     def __init__(self, document: Callable[[], Document | None]) -> None:
         self._document = document
@@ -31,8 +29,6 @@
         call.idempotent = route.is_idempotent(request.method)
         call.credential = _credential_hash(request)
         call.caller = call.credential or request.remote or ""
-        call.body = await _read_body(request, route)
-        call.fingerprint = fingerprint(request.method, request.raw_path, call.body)
         return await proceed(call)
 
     def _find(self, request: web.BaseRequest) -> RoutePart:
@@ -56,14 +52,3 @@
     if not credential:
         return ""
     return hashlib.blake2b(credential.encode(), digest_size=CREDENTIAL_DIGEST_BYTES).hexdigest()
-
-
-async def _read_body(request: web.BaseRequest, route: RoutePart) -> bytes | None:
-    if not request.body_exists:
-        return b""
-    length = request.content_length
-    if length is not None and length > route.max_body_bytes:
-        raise RequestError(ErrorKind.BODY_TOO_LARGE, f"At most {route.max_body_bytes} bytes.")
-    if length is None or length > MAX_BUFFERED_BYTES:
-        return None
-    return await request.content.readexactly(length) if length else b""
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -34,6 +34,7 @@
 from peridottrack.debug import process_facts
 from peridottrack.document import Document
 from peridottrack.filters.admission import AdmissionFilter
+from peridottrack.filters.body import body_filter
 from peridottrack.filters.choice import ChoiceFilter
 from peridottrack.filters.claim import ClaimFilter
 from peridottrack.filters.deadline import deadline_filter
@@ -227,6 +228,7 @@
             [
                 RouteFilter(lambda: self.document.snapshot.document),
                 deadline_filter,
+                body_filter,
                 AdmissionFilter(self.drain, self.load),
                 HoldFilter(self.poison, self.metrics),
                 self.claim_filter,
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -351,3 +351,17 @@
     guard = app.middlewares[0]
     with pytest.raises(HTTPForbidden):
         await guard(SimpleNamespace(remote="10.1.1.1"), None)
+
+
+async def test_body_that_never_comes_ends_at_the_deadline(harness):
+    address = parse_endpoint(harness.node().node.settings.callers_address)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in ORDER_HEADERS.items())
+    request = (
+        "POST /siparis/orders HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"{DEADLINE_HEADER}: 200\r\nContent-Length: 10\r\n{lines}\r\nabc"
+    )
+    answer = await raw_exchange(address.host, address.port, request.encode())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Peridot-Error: too_late" in answer
+    assert b"Peridot-Ran: no" in answer
+    assert harness.cluster.ledger.runs_by_key["k-1"] == 0
