--- a/bench/dist.py
+++ b/bench/dist.py
@@ -71,7 +71,7 @@
     parser.add_argument("--no-build", action="store_true", help="try the file that is there")
     if not parser.parse_args().no_build:
         build()
-    with tempfile.TemporaryDirectory(dir="/dev/shm") as root:
+    with tempfile.TemporaryDirectory() as root:
         environment = {**os.environ, "SHIV_ROOT": root}
         first_s = timed(["--version"], environment)
         again_s = timed(["--version"], environment)
--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -15,7 +15,13 @@
 import click
 
 from peridottrack import __version__, log
-from peridottrack.config import Settings, load_settings, parse_endpoint
+from peridottrack.config import (
+    MeshSettings,
+    Settings,
+    load_settings,
+    parse_endpoint,
+    read_mesh_settings,
+)
 from peridottrack.debug import quieten_garbage_collection
 from peridottrack.document import parse_document
 from peridottrack.exceptions import (
@@ -85,6 +91,23 @@
     sys.exit(0 if left_well else 1)
 
 
+@cli.command()
+@click.option(
+    "--settings",
+    "path",
+    envvar="PERIDOTTRACK_CONFIG",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Settings file, JSON with comments (or PERIDOTTRACK_CONFIG).",
+)
+def mesh(path: Path) -> None:
+    """Run a node with a gate on the users' platform, until SIGTERM."""
+    settings = read_mesh_settings(path.read_text(encoding="utf-8"), str(path))
+    log.start_logging(settings.log_level, settings.debug, sys.stdout)
+    left_well = asyncio.run(_run_mesh(settings, path))
+    sys.exit(0 if left_well else 1)
+
+
 @cli.command()
 @click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(path: Path) -> None:
@@ -337,6 +360,29 @@
     return await running.leave()
 
 
+async def _run_mesh(settings: MeshSettings, path: Path) -> bool:
+    from peridottrack.mesh import MeshNode
+    from peridottrack.platform import ADAPTER
+
+    running = MeshNode(settings, ADAPTER)
+    stop = _stop_event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _note_changed_settings, path)
+    await running.start()
+    quieten_garbage_collection()
+    await stop.wait()
+    return await running.leave()
+
+
+def _note_changed_settings(path: Path) -> None:
+    """Check changed settings; all of them are read at start, so they wait for the next one."""
+    try:
+        read_mesh_settings(path.read_text(encoding="utf-8"), str(path))
+    except (Faulty, OSError) as error:
+        log.warning("changed settings are faulty, the old ones stay", error=str(error))
+        return
+    log.event("settings changed, in force from the next start", path=str(path))
+
+
 async def _run_platform(listen: str) -> None:
     from peridottrack.standin.platform import serve_platform
 
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -123,6 +123,64 @@
     )
 
 
+class MeshSettings(BaseModel):
+    """Settings of a node with a gate: each field is an option with its bounds and meaning."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    callers_address: EndpointText = Field(description="Where callers connect (HTTP).")
+    link_address: EndpointText = Field(description="Where other nodes connect (TCP).")
+    ready_address: EndpointText = Field(description="Answers whether the node is ready (HTTP).")
+    announce_address: EndpointText = Field(description="The instance announces itself (HTTP).")
+    gossip_address: EndpointText = Field(description="Datagrams between nodes (UDP).")
+    metrics_address: EndpointText | None = Field(None, description="Metrics and dump (HTTP).")
+    upstream_address: EndpointText = Field(description="Where the instance beside listens.")
+    service: str = Field(description="Service of the instance beside.")
+    failure_domain: str = Field(description="Failure domain of this host.")
+    region: str = Field(description="Region of this host.")
+    store_url: UrlText = Field(description="The platform's store.")
+    store_timeout_s: float = Field(
+        1.5, ge=0.05, le=30, description="Seconds that one call to the store may take."
+    )
+    message_keys: list[KeyText] = Field(
+        min_length=1,
+        max_length=3,
+        description="Keys of the datagrams; the first signs, all are accepted.",
+    )
+    shutdown_s: float = Field(
+        6.0, ge=0.5, le=600, description="Seconds from SIGTERM until the process must be gone."
+    )
+    second_ratio: float = Field(
+        0.2, ge=0, le=1, description="Second sends as a share of a service's requests, all nodes."
+    )
+    second_slack: float = Field(
+        60, ge=0, le=100_000, description="Second sends in a window besides, all nodes."
+    )
+    second_window_s: float = Field(
+        10.0, ge=0.1, le=600, description="Seconds over which second sends are counted."
+    )
+    log_level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = Field(
+        "INFO", description="Lowest level that is logged."
+    )
+    debug: list[Literal["member", "gate", "link"]] = Field(
+        [], description="Topics to log in detail."
+    )
+
+
+def read_mesh_settings(text: str, origin: str) -> MeshSettings:
+    """Parse and check the settings of a node with a gate.
+
+    Raises
+    ------
+    SettingsFaulty
+        With all faults, one line each.
+    """
+    try:
+        return jsonc.check(MeshSettings, jsonc.parse(text, origin), origin)
+    except Faulty as fault:
+        raise SettingsFaulty(fault.faults) from None
+
+
 def read_settings(text: str, origin: str) -> Settings:
     """Parse and check a settings file.
 
--- /dev/null
+++ b/peridottrack/controllers/gate.py
@@ -0,0 +1,216 @@
+"""Runs forwarded requests at the instance beside this node, as the gate decides."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from peridottrack import log
+from peridottrack.dialect import Dialect, read_load
+from peridottrack.errors import ErrorKind, Ran
+from peridottrack.exceptions import BrokeOff, NotConnected
+from peridottrack.frames import ForwardedRequest, Frame, InstanceAnswer, Refusal
+from peridottrack.gate import Gate, GateState, Ticket, Verdict
+from peridottrack.headerblock import Header, forwarded, pack, value_of
+from peridottrack.types import Clock, Endpoint
+from peridottrack.upstream import ConnectionPool, UpstreamAnswer
+
+DEADLINE_SLACK_S = 0.05
+"""How long after a deadline the instance's own last word is still waited for."""
+LEAST_BUDGET_S = 0.005
+"""A request with less time left than a new connection takes is not started."""
+REFUSED_TO_ABSENT = 2
+"""Refused connections in a row after which the instance counts as gone until its next word."""
+MISDIRECTED = 421
+
+KIND_BY_VERDICT = {
+    Verdict.CLOSED: ErrorKind.NO_INSTANCE,
+    Verdict.WRONG_INSTANCE: ErrorKind.NO_INSTANCE,
+    Verdict.FULL: ErrorKind.OVERLOADED,
+    Verdict.TOO_LATE: ErrorKind.TOO_LATE,
+}
+
+Reply = Callable[[Frame], None]
+
+
+@dataclass(slots=True)
+class _Work:
+    """A forwarded request on its way."""
+
+    frame: ForwardedRequest
+    reply: Reply
+    deadline: float
+    turn: asyncio.Future[Verdict]
+    ticket: Ticket = field(init=False)
+    sent: bool = False
+
+    def __post_init__(self) -> None:
+        frame = self.frame
+        self.ticket = Ticket(frame.route, frame.rank, self.deadline, self._decide)
+
+    def _decide(self, verdict: Verdict) -> None:
+        if not self.turn.done():
+            self.turn.set_result(verdict)
+
+
+class GateController:
+    """The gate with its connections.
+
+    Parameters
+    ----------
+    endpoint
+        Where the instance listens.
+    """
+
+    def __init__(self, endpoint: Endpoint, dialect: Dialect, clock: Clock) -> None:
+        self.gate = Gate(clock)
+        self._clock = clock
+        self._dialect = dialect
+        self._pool = ConnectionPool(endpoint, clock)
+        self._refused = 0
+        self._id_name = dialect.request_id.encode()
+        self._own_names = frozenset(
+            name.encode() for name in (dialect.target, dialect.deadline_ms, "content-length")
+        )
+        self._answer_dropped = frozenset((b"content-length", dialect.load.encode()))
+
+    def start(
+        self, frame: ForwardedRequest, reply: Reply, held_up_s: float = 0.0
+    ) -> asyncio.Task[None]:
+        """Take in a request; ``reply`` gets exactly one frame unless the task is cancelled.
+
+        Parameters
+        ----------
+        held_up_s
+            Seconds that the frame spent on the way.
+        """
+        deadline = self._clock.now() + frame.budget_s - held_up_s
+        turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        work = _Work(frame, reply, deadline, turn)
+        return asyncio.create_task(self._serve(work))
+
+    async def _serve(self, work: _Work) -> None:
+        self.gate.ask(work.ticket, work.frame.instance)
+        try:
+            async with asyncio.timeout_at(work.deadline):
+                verdict = await work.turn
+        except TimeoutError:
+            verdict = Verdict.TOO_LATE if self.gate.give_up(work.ticket) else _decided(work)
+        except asyncio.CancelledError:
+            if not self.gate.give_up(work.ticket) and _decided(work) is Verdict.RUN:
+                self.gate.finished(work.ticket, False)
+            raise
+        if verdict is Verdict.RUN:
+            await self._run(work)
+        else:
+            self._refuse(work, KIND_BY_VERDICT[verdict], Ran.NO, verdict.value)
+
+    async def _run(self, work: _Work) -> None:
+        ran = False
+        try:
+            async with asyncio.timeout_at(work.deadline + DEADLINE_SLACK_S):
+                answer = await self._exchange(work)
+            ran = True
+            self._pass_on(work, answer)
+        except NotConnected as error:
+            self._note_refused_connection()
+            self._refuse(work, ErrorKind.UPSTREAM_UNREACHABLE, Ran.NO, str(error))
+        except BrokeOff as error:
+            self._refuse(work, ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, str(error))
+        except TimeoutError:
+            unknown = Ran.UNKNOWN if work.sent else Ran.NO
+            kind = ErrorKind.DEADLINE_PASSED if work.sent else ErrorKind.TOO_LATE
+            self._refuse(work, kind, unknown, "the deadline passed")
+        finally:
+            self.gate.finished(work.ticket, ran)
+
+    async def _exchange(self, work: _Work) -> UpstreamAnswer:
+        frame = work.frame
+        connection = await self._pool.acquire(once=not frame.idempotent)
+        if not self.gate.is_open and self.gate.beside.state is not GateState.OPEN:
+            self._pool.release(connection)
+            raise NotConnected("the instance began to leave")
+        left_s = work.deadline - self._clock.now()
+        if left_s < LEAST_BUDGET_S:
+            self._pool.release(connection)
+            raise TimeoutError
+        headers = frame.head
+        request_id = _find_value(headers, self._id_name)
+        work.sent = True
+        try:
+            answer = await connection.exchange(
+                self._request_bytes(frame, left_s), request_id, self._id_name, frame.method == "HEAD"
+            )
+        finally:
+            self._pool.release(connection)
+        self._refused = 0
+        return answer
+
+    def _request_bytes(self, frame: ForwardedRequest, left_s: float) -> bytes:
+        dialect = self._dialect
+        own: list[Header] = [
+            (dialect.deadline_ms.title().encode(), b"%d" % max(1, int(left_s * 1000))),
+            (dialect.target.title().encode(), frame.instance.encode()),
+        ]
+        if frame.body or frame.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            own.append((b"Content-Length", b"%d" % len(frame.body)))
+        line = b"%b %b HTTP/1.1\r\n" % (frame.method.encode(), frame.path)
+        return b"".join((line, frame.head, pack(own), b"\r\n", frame.body))
+
+    def _pass_on(self, work: _Work, answer: UpstreamAnswer) -> None:
+        said = value_of(answer.headers, self._dialect.load.encode())
+        figures = read_load(said.decode("latin-1")) if said is not None else None
+        if figures is not None:
+            self.gate.hear_load(figures)
+        echoed = value_of(answer.headers, self._id_name) is not None
+        if echoed or answer.fresh:
+            # Without its id, only the first answer on a connection is surely the right one.
+            if answer.status == MISDIRECTED:
+                self.gate.close()
+                self._refuse(work, ErrorKind.NO_INSTANCE, Ran.NO, "another instance is there")
+                return
+            if value_of(answer.headers, self._dialect.not_run.encode()) is not None:
+                self._refuse(work, ErrorKind.UPSTREAM_SHED, Ran.NO, f"status {answer.status}")
+                return
+        signed = value_of(answer.headers, self._dialect.signature.encode()) is not None
+        if not echoed or (200 <= answer.status < 300 and not signed):
+            detail = "the answer bears no request id or signature"
+            self._refuse(work, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, detail)
+            return
+        head = pack(forwarded(answer.headers, self._answer_dropped))
+        frame = InstanceAnswer(
+            work.frame.number, answer.status, head, answer.body, self.gate.load()
+        )
+        work.reply(frame)
+
+    def _refuse(self, work: _Work, kind: ErrorKind, ran: Ran, why: str) -> None:
+        wait_s = self.gate.forecast_s(work.ticket) if kind is not ErrorKind.NO_INSTANCE else 0.0
+        log.debug(
+            "gate", "request refused", request=work.frame.number, kind=kind.value, why=why
+        )
+        work.reply(Refusal(work.frame.number, kind, ran, wait_s, self.gate.load()))
+
+    def _note_refused_connection(self) -> None:
+        self._refused += 1
+        if self._refused >= REFUSED_TO_ABSENT and self.gate.is_open:
+            log.event("instance unreachable", instance=self.gate.beside.instance)
+            self.gate.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+
+def _decided(work: _Work) -> Verdict:
+    """Return the verdict of a request that no longer waits."""
+    known = work.turn.done() and not work.turn.cancelled()
+    return work.turn.result() if known else Verdict.TOO_LATE
+
+
+def _find_value(block: bytes, name: bytes) -> bytes:
+    for line in block.split(b"\r\n"):
+        key, _, value = line.partition(b": ")
+        if key.lower() == name:
+            return value
+    return b""
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -7,7 +7,7 @@
 import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, Protocol
 
 from reactivex.subject import BehaviorSubject
 
@@ -63,6 +63,58 @@
     nodes: int = 1
 
 
+class Directory(Protocol):
+    """Where nodes find the first others: one entry a node, in the platform's store."""
+
+    async def read(self) -> list[MemberUpdate]:
+        """Return all entries.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store did not answer.
+        """
+        ...
+
+    async def write(self, me: MemberUpdate) -> bool:
+        """Put the node's own entry; False if the store did not take it."""
+        ...
+
+    async def remove(self, node: NodeId) -> None:
+        """Remove an entry, as far as the store lets it."""
+        ...
+
+
+class TableDirectory:
+    """`Directory` in the rows of a `TableStore`."""
+
+    def __init__(self, table: TableStore) -> None:
+        self._table = table
+        self._row_version = ABSENT
+
+    async def read(self) -> list[MemberUpdate]:
+        """Return all entries."""
+        return await read_members(self._table)
+
+    async def write(self, me: MemberUpdate) -> bool:
+        """Put the node's own entry."""
+        key = RowKey(PARTITION, me.node)
+        try:
+            row = await self._table.get(key)
+        except StoreUnavailable:
+            return False
+        expected = row.version if row else ABSENT
+        value = json.dumps(update_to_data(me)).encode()
+        settled = await put_settled(self._table, key, expected, value, new_writer())
+        self._row_version = expected + 1
+        return settled.outcome is WriteOutcome.APPLIED
+
+    async def remove(self, node: NodeId) -> None:
+        """Remove an entry."""
+        delete = Write(WriteAction.DELETE, RowKey(PARTITION, node), self._row_version)
+        await self._table.transact([delete], new_writer())
+
+
 class MembersController:
     """Runs the membership protocol and publishes what it knows.
 
@@ -75,19 +127,18 @@
     def __init__(
         self,
         me: MemberUpdate,
-        table: TableStore,
+        directory: Directory,
         datagrams: Datagrams,
         clock: Clock,
         rng: Random,
         metrics: Metrics,
         version_heard: VersionHeard = lambda node, version: None,
     ) -> None:
-        self._table = table
+        self._directory = directory
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._version_heard = version_heard
-        self._row_version = ABSENT
         self._publish_due = False
         self._owner_by_shard: dict[int, NodeId] = {}
         self.distances = Distances(me.domain)
@@ -106,26 +157,31 @@
             await asyncio.sleep(JOIN_RETRY_S)
             self.membership.contact(seeds, self._clock.now())
 
-    async def register(self) -> bool:
-        """Write this node's row, so that others can join through the table."""
-        me = self.membership.me
-        value = json.dumps(_update_to_data(me)).encode()
-        key = RowKey(PARTITION, me.node)
+    async def join_once(self) -> bool:
+        """Enter this node in the directory and read the others; False to try again later.
+
+        Nodes that start together all enter before they read, so that of any two one sees the
+        other.
+        """
+        if not await self.register():
+            return False
         try:
-            row = await self._table.get(key)
-        except StoreUnavailable:
+            updates = await self._directory.read()
+        except StoreUnavailable as error:
+            log.warning("the store does not tell of other nodes", error=str(error))
             return False
-        expected = row.version if row else ABSENT
-        settled = await put_settled(self._table, key, expected, value, new_writer())
-        self._row_version = expected + 1
-        return settled.outcome is WriteOutcome.APPLIED
+        self.membership.join(updates, self._clock.now())
+        self.membership.forget_spread()
+        return True
+
+    async def register(self) -> bool:
+        """Write this node's row, so that others can join through the table."""
+        return await self._directory.write(self.membership.me)
 
     async def leave(self) -> None:
         """Tell all nodes and the table that this node leaves."""
         self.membership.leave(self._clock.now())
-        key = RowKey(PARTITION, self.membership.me.node)
-        delete = Write(WriteAction.DELETE, key, self._row_version)
-        await self._table.transact([delete], new_writer())
+        await self._directory.remove(self.membership.me.node)
 
     async def run(self) -> None:
         """Keep time for the protocol, until cancelled."""
@@ -142,6 +198,12 @@
         """Tell others which document is in force here."""
         self.membership.set_document_version(version, self._clock.now())
 
+    def set_store_away(self, away: bool) -> None:
+        """Tell others whether the platform's store answers this node."""
+        me = self.membership.me
+        if me.store_away != away:
+            self.membership.set_me(replace(me, store_away=away), self._clock.now())
+
     def node_of(self, instance: InstanceId) -> NodeId | None:
         """Return the node beside an instance."""
         return self._node_by_instance.get(instance)
@@ -180,19 +242,13 @@
             "distance_s": self.distances.dump(),
             "digest": f"{self.membership.digest():016x}",
             "members": {
-                node: {**_update_to_data(member.update), "since_s": round(member.since, 3)}
+                node: {**update_to_data(member.update), "since_s": round(member.since, 3)}
                 for node, member in self.membership.member_by_node.items()
             },
         }
 
     async def _join_table(self) -> bool:
-        try:
-            updates = await read_members(self._table)
-        except StoreUnavailable:
-            return False
-        self.membership.join(updates, self._clock.now())
-        self.membership.forget_spread()
-        return await self.register()
+        return await self.join_once()
 
     def _receive(self, message: Message) -> None:
         self.membership.receive(message, self._clock.now())
@@ -240,7 +296,7 @@
     return hashlib.blake2b(f"{shard} {node}".encode(), digest_size=8).digest()
 
 
-def _update_to_data(update: MemberUpdate) -> dict[str, Any]:
+def update_to_data(update: MemberUpdate) -> dict[str, Any]:
     return {
         "node": update.node,
         "incarnation": update.incarnation,
--- a/peridottrack/errors.py
+++ b/peridottrack/errors.py
@@ -30,6 +30,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    TOO_SLOW = "too_slow"
     KEY_REQUIRED = "key_required"
     CREDENTIAL_REQUIRED = "credential_required"
     KEY_REUSED = "key_reused"
@@ -73,6 +74,7 @@
     ErrorKind.BAD_REQUEST: AnswerRule(400, Ran.NO, "The request is not valid"),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(413, Ran.NO, "The request body is too large"),
     ErrorKind.HEADERS_TOO_LARGE: AnswerRule(431, Ran.NO, "The request headers are too large"),
+    ErrorKind.TOO_SLOW: AnswerRule(408, Ran.NO, "The request came too slowly"),
     ErrorKind.KEY_REQUIRED: AnswerRule(400, Ran.NO, "This route needs an Idempotency-Key"),
     ErrorKind.CREDENTIAL_REQUIRED: AnswerRule(401, Ran.NO, "A keyed call needs a credential"),
     ErrorKind.KEY_REUSED: AnswerRule(422, Ran.NO, "The key was used with another request"),
--- a/peridottrack/exceptions.py
+++ b/peridottrack/exceptions.py
@@ -56,6 +56,12 @@
     code = "store_unavailable"
 
 
+class HistoryLost(PeridottrackError):
+    """The platform's store no longer holds the changes after a position."""
+
+    code = "history_lost"
+
+
 class Faulty(PeridottrackError):
     """A text that does not pass its checks.
 
@@ -118,6 +124,28 @@
     code = "datagram_rejected"
 
 
+class FrameRejected(PeridottrackError):
+    """Bytes from another node that are no frame."""
+
+    code = "frame_rejected"
+
+
+class LinkLost(PeridottrackError):
+    """The connection to another node ended before the request's outcome came.
+
+    Parameters
+    ----------
+    sent
+        Whether the request may have reached the other node.
+    """
+
+    code = "link_lost"
+
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
 class PromiseBroken(PeridottrackError):
     """A run of the demo found that a promise did not hold."""
 
--- /dev/null
+++ b/peridottrack/forward.py
@@ -0,0 +1,333 @@
+"""A caller's request on its way: route, gate, second sends and the one answer it gets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from peridottrack import log
+from peridottrack.dialect import Dialect
+from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran, problem
+from peridottrack.exceptions import LinkLost
+from peridottrack.frames import ForwardedRequest, InstanceAnswer, Refusal
+from peridottrack.headerblock import forwarded, pack, unpack, value_of
+from peridottrack.ingress import CallerRequest, WholeAnswer
+from peridottrack.link import GateRoute
+from peridottrack.metrics import Metrics
+from peridottrack.placement import Choice, Placement
+from peridottrack.routing import Route, RouteTable
+from peridottrack.seconds import SecondSends
+from peridottrack.types import Clock, InstanceId, Random, ServiceName
+
+ANSWER_MARGIN_S = 0.1
+"""How long after the deadline the gate's last word is waited for; it says whether it ran."""
+MAX_SENDS = 6
+"""Gates that are asked for one request, those included that refuse it as not run."""
+RUN_WEIGHT = 0.1
+"""Weight of a new run time in its moving average."""
+FIRST_RUN_SHARE = 0.4
+"""Run time assumed of a route that never ran, as a share of its target."""
+WAIT_MIN_S = 0.05
+WAIT_MAX_S = 2.0
+"""Bounds of the Retry-After that is told."""
+WAIT_SPREAD = 0.5
+"""Random share added to it, so that the refused do not come back at once."""
+FAILING_STATUS = 500
+"""Statuses from here on speak against an instance."""
+
+ServiceRoutes = Callable[[ServiceName], Iterable[GateRoute]]
+
+
+@dataclass(slots=True)
+class _Journey:
+    """One request with what became of it so far.
+
+    Parameters
+    ----------
+    sent_to
+        Instances that may have run it.
+    """
+
+    request: CallerRequest
+    request_id: str
+    route: Route
+    service: ServiceName
+    deadline: float
+    head: bytes
+    sent_to: list[InstanceId] = field(default_factory=list)
+    refused_by: set[InstanceId] = field(default_factory=set)
+    wait_s: float = 0.0
+    last_kind: ErrorKind = ErrorKind.NO_INSTANCE
+    unsure: bool = False
+    kept: WholeAnswer | None = None
+
+
+class Forwarder:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    table
+        Returns the routes in force, None before any are known.
+    routes_of
+        Returns the ways to the gates of a service.
+    seconds_for
+        Makes the budget of second sends of a service.
+    caller_service
+        The service whose host this is.
+    """
+
+    def __init__(
+        self,
+        table: Callable[[], RouteTable | None],
+        routes_of: ServiceRoutes,
+        placement: Placement,
+        seconds_for: Callable[[], SecondSends],
+        dialect: Dialect,
+        caller_service: str,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+    ) -> None:
+        self._table = table
+        self._routes_of = routes_of
+        self._placement = placement
+        self._seconds_for = seconds_for
+        self._dialect = dialect
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._run_s_by_route: dict[str, float] = {}
+        self._seconds_by_service: dict[ServiceName, SecondSends] = {}
+        self.nodes = 1
+        self._id_name = dialect.request_id.encode()
+        self._deadline_name = dialect.deadline_ms.encode()
+        self._own_names = frozenset(
+            name.encode()
+            for name in (
+                dialect.deadline_ms,
+                dialect.target,
+                dialect.caller_service,
+                "content-length",
+            )
+        )
+        self._caller_line = pack([(dialect.caller_service.title().encode(), caller_service.encode())])
+
+    async def handle(self, request: CallerRequest) -> WholeAnswer:
+        """Answer one request; never raises."""
+        try:
+            return await self._handle(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log.logger.exception("request failed", error=repr(error))
+            return self._problem(ErrorKind.UPSTREAM_FAILED, "", "the node failed")
+
+    def refuse(self, status: int, reason: str) -> WholeAnswer:
+        """Return the answer to input that is no valid request."""
+        kind = _KIND_BY_STATUS.get(status, ErrorKind.BAD_REQUEST)
+        return self._problem(kind, "", reason)
+
+    async def _handle(self, request: CallerRequest) -> WholeAnswer:
+        request_id = (value_of(request.headers, self._id_name) or b"").decode("latin-1")
+        if not request_id:
+            return self._problem(ErrorKind.BAD_REQUEST, "", f"{self._dialect.request_id} is missing")
+        table = self._table()
+        if table is None:
+            return self._problem(ErrorKind.NOT_READY, request_id)
+        host = (value_of(request.headers, b"host") or b"").decode("latin-1")
+        route = table.find(host.partition(":")[0].lower(), request.path)
+        if route is None:
+            return self._problem(ErrorKind.NO_ROUTE, request_id, f"version {table.version}")
+        journey = _Journey(
+            request,
+            request_id,
+            route,
+            route.pick(self._rng),
+            self._deadline(request, route),
+            self._caller_line + pack(forwarded(request.headers, self._own_names)),
+        )
+        return await self._travel(journey)
+
+    def _deadline(self, request: CallerRequest, route: Route) -> float:
+        allowed_s = route.timeout_s
+        told = value_of(request.headers, self._deadline_name)
+        if told is not None and told.isdigit():
+            allowed_s = min(allowed_s, int(told) / 1000)
+        return request.read_at + allowed_s
+
+    # -- the way -----------------------------------------------------------------------
+
+    async def _travel(self, journey: _Journey) -> WholeAnswer:
+        seconds = self._seconds(journey.service)
+        for _ in range(MAX_SENDS):
+            choice = self._choose(journey)
+            if choice is None:
+                break
+            if journey.sent_to and not seconds.take():
+                break
+            if not journey.sent_to:
+                seconds.called()
+            answer = await self._send(journey, choice)
+            if answer is not None:
+                return answer
+            if journey.sent_to and not self._may_repeat(journey):
+                break
+        return self._give_up(journey)
+
+    def _may_repeat(self, journey: _Journey) -> bool:
+        route = journey.route
+        left_s = journey.deadline - self._clock.now()
+        enough = left_s > self._run_s(route)
+        return route.idempotent and enough and len(journey.sent_to) < route.attempts
+
+    def _choose(self, journey: _Journey) -> Choice | None:
+        run_s = self._run_s(journey.route)
+        exclude = journey.refused_by.union(journey.sent_to)
+        routes = self._routes_of(journey.service)
+        choice = self._placement.choose(routes, run_s, journey.route.target_s, exclude)
+        if choice is None:
+            return None
+        left_s = journey.deadline - self._clock.now()
+        if choice.wait_s + run_s > left_s:
+            journey.last_kind = ErrorKind.OVERLOADED
+            journey.wait_s = max(journey.wait_s, choice.wait_s + run_s - left_s)
+            return None
+        return choice
+
+    async def _send(self, journey: _Journey, choice: Choice) -> WholeAnswer | None:
+        """Ask one gate; None if the request may go elsewhere or has to be given up."""
+        started_at = self._clock.now()
+        instance = choice.load.instance
+        frame = self._frame(journey, instance, started_at)
+        try:
+            async with asyncio.timeout_at(journey.deadline + ANSWER_MARGIN_S):
+                outcome = await choice.route.ask(frame)
+        except TimeoutError:
+            journey.sent_to.append(instance)
+            journey.unsure = True
+            journey.last_kind = ErrorKind.DEADLINE_PASSED
+            self._placement.ended(instance, True)
+            return None
+        except LinkLost as error:
+            if error.sent:
+                journey.sent_to.append(instance)
+                journey.unsure = True
+                journey.last_kind = ErrorKind.UPSTREAM_FAILED
+            else:
+                journey.refused_by.add(instance)
+                journey.last_kind = ErrorKind.UPSTREAM_UNREACHABLE
+            return None
+        if isinstance(outcome, Refusal):
+            self._take_refusal(journey, instance, outcome)
+            return None
+        return self._take_answer(journey, instance, outcome, started_at)
+
+    def _frame(self, journey: _Journey, instance: InstanceId, now: float) -> ForwardedRequest:
+        request, route = journey.request, journey.route
+        return ForwardedRequest(
+            next(self._numbers),
+            max(0.0, journey.deadline - now),
+            now,
+            max(0.0, request.read_at + route.target_s - now),
+            route.name,
+            route.priority,
+            route.idempotent,
+            bool(journey.sent_to),
+            request.method,
+            request.target,
+            journey.head,
+            request.body,
+            instance,
+        )
+
+    def _take_refusal(self, journey: _Journey, instance: InstanceId, refusal: Refusal) -> None:
+        journey.last_kind = refusal.kind
+        journey.wait_s = max(journey.wait_s, refusal.wait_s)
+        if refusal.ran is Ran.NO:
+            journey.refused_by.add(instance)
+            if refusal.kind is ErrorKind.UPSTREAM_SHED:
+                self._placement.ended(instance, True)
+            return
+        journey.sent_to.append(instance)
+        journey.unsure = True
+        self._placement.ended(instance, True)
+
+    def _take_answer(
+        self, journey: _Journey, instance: InstanceId, answer: InstanceAnswer, started_at: float
+    ) -> WholeAnswer | None:
+        failed = answer.status >= FAILING_STATUS
+        journey.sent_to.append(instance)
+        journey.unsure = True
+        self._placement.ended(instance, failed)
+        whole = WholeAnswer(answer.status, unpack(answer.head), answer.body)
+        if failed:
+            journey.kept = whole
+            journey.last_kind = ErrorKind.UPSTREAM_FAILED
+            return None
+        self._learn(journey.route, self._clock.now() - started_at, answer.load.slowdown)
+        self._metrics.call_outcome(journey.service, "ok").inc()
+        return whole
+
+    def _give_up(self, journey: _Journey) -> WholeAnswer:
+        if journey.kept is not None:
+            self._metrics.call_outcome(journey.service, "upstream_error").inc()
+            return journey.kept
+        kind = journey.last_kind
+        if journey.unsure and RULE_BY_KIND[kind].ran is Ran.NO:
+            kind = ErrorKind.UPSTREAM_FAILED
+        log.event(
+            "request given up",
+            request=journey.request_id,
+            route=journey.route.name,
+            service=journey.service,
+            kind=kind.value,
+            sent_to=journey.sent_to,
+            refused_by=sorted(journey.refused_by),
+            waited_s=round(self._clock.now() - journey.request.read_at, 4),
+            left_s=round(journey.deadline - self._clock.now(), 4),
+        )
+        self._metrics.call_outcome(journey.service, kind.value).inc()
+        return self._problem(kind, journey.request_id, wait_s=journey.wait_s)
+
+    # -- small parts -------------------------------------------------------------------
+
+    def _problem(
+        self, kind: ErrorKind, request_id: str, detail: str = "", wait_s: float = 0.0
+    ) -> WholeAnswer:
+        made = problem(kind, detail, request_id)
+        headers = {**made.headers}
+        if "Retry-After" in headers:
+            spread = 1.0 + WAIT_SPREAD * self._rng.random()
+            wait_s = min(max(wait_s, WAIT_MIN_S), WAIT_MAX_S) * spread
+            headers["Retry-After"] = f"{wait_s:.2f}"
+        if request_id:
+            headers[self._dialect.request_id.title()] = request_id
+        pairs = [(key.encode(), value.encode()) for key, value in headers.items()]
+        return WholeAnswer(made.status, pairs, made.body)
+
+    def _seconds(self, service: ServiceName) -> SecondSends:
+        found = self._seconds_by_service.get(service)
+        if found is None:
+            found = self._seconds_by_service[service] = self._seconds_for()
+        found.nodes = self.nodes
+        return found
+
+    def _run_s(self, route: Route) -> float:
+        return self._run_s_by_route.get(route.name, FIRST_RUN_SHARE * route.target_s)
+
+    def _learn(self, route: Route, seconds: float, slowdown: float) -> None:
+        usual_s = seconds / max(slowdown, 1.0)
+        known_s = self._run_s(route)
+        self._run_s_by_route[route.name] = known_s + RUN_WEIGHT * (usual_s - known_s)
+
+
+_KIND_BY_STATUS = {
+    400: ErrorKind.BAD_REQUEST,
+    408: ErrorKind.TOO_SLOW,
+    413: ErrorKind.BODY_TOO_LARGE,
+    431: ErrorKind.HEADERS_TOO_LARGE,
+}
--- /dev/null
+++ b/peridottrack/frames.py
@@ -0,0 +1,376 @@
+"""Frames on a connection between two nodes: typed records and their pycapnp codec."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from importlib import resources
+from typing import Any
+
+import capnp
+
+from peridottrack.errors import ErrorKind, Ran
+from peridottrack.exceptions import FrameRejected
+from peridottrack.types import FailureDomain, InstanceId, NodeId, ServiceName
+
+capnp.remove_import_hook()
+with resources.as_file(resources.files("peridottrack") / "frames.capnp") as _path:
+    _schema = capnp.load(str(_path))
+
+LENGTH = struct.Struct(">I")
+MAX_FRAME_BYTES = 80 << 20
+"""Above the largest body that a document may allow, so that a broken length is noticed."""
+READ_LIMIT_WORDS = MAX_FRAME_BYTES // 4
+MICROSECONDS = 1_000_000
+MAX_UINT16 = 0xFFFF
+MAX_UINT32 = 0xFFFFFFFF
+
+
+@dataclass(frozen=True, slots=True)
+class GateLoad:
+    """What a gate says of its instance.
+
+    Parameters
+    ----------
+    open
+        Whether new requests are taken.
+    limit
+        Requests that the gate lets run at the same time.
+    slowdown
+        How many times longer than usual work took when the instance last said so.
+    slowdown_age_s
+        Seconds since then.
+    cold
+        Whether the instance started a short while ago.
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    open: bool
+    slots: int
+    limit: int
+    running: int
+    waiting: int
+    slowdown: float = 1.0
+    slowdown_age_s: float = 0.0
+    cold: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Sent first by the side that connects."""
+
+    node: NodeId
+    domain: FailureDomain
+    document_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequest:
+    """A request for the instance beside the receiver.
+
+    Parameters
+    ----------
+    budget_s
+        Seconds that were left when it was sent.
+    sent_at
+        Sender's monotonic clock, to notice frames that were held up on the way.
+    target_s
+        Seconds within which the answer is worth most, counted like ``budget_s``.
+    rank
+        0 goes first when the instance has no slot free.
+    again
+        Whether it may have reached an instance before.
+    """
+
+    number: int
+    budget_s: float
+    sent_at: float
+    target_s: float
+    route: str
+    rank: int
+    idempotent: bool
+    again: bool
+    method: str
+    path: bytes
+    head: bytes
+    body: bytes
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller has left."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceAnswer:
+    """The instance's whole answer."""
+
+    number: int
+    status: int
+    head: bytes
+    body: bytes
+    load: GateLoad
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The request got no answer of the instance.
+
+    Parameters
+    ----------
+    wait_s
+        Seconds after which another try has better prospects, 0 if not known.
+    """
+
+    number: int
+    kind: ErrorKind
+    ran: Ran
+    wait_s: float
+    load: GateLoad
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPing:
+    """Asks for a `LinkPong` with the same number."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPong:
+    """Answers a `LinkPing`."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class WantDocument:
+    """Asks for the document if it is newer than ``have``."""
+
+    have: int
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentFrame:
+    """The document, in the form in which its source holds it."""
+
+    version: int
+    data: bytes
+
+
+Frame = (
+    Hello
+    | ForwardedRequest
+    | Cancel
+    | InstanceAnswer
+    | Refusal
+    | GateLoad
+    | LinkPing
+    | LinkPong
+    | WantDocument
+    | DocumentFrame
+)
+
+
+def encode(frame: Frame) -> bytes:
+    """Return a frame's bytes with their length before them."""
+    message = _schema.Frame.new_message()
+    _FILL_BY_TYPE[type(frame)](message, frame)
+    data = message.to_bytes_packed()
+    return LENGTH.pack(len(data)) + data
+
+
+def decode(data: bytes) -> Frame:
+    """Read one frame without its length.
+
+    Raises
+    ------
+    FrameRejected
+        If the bytes are not a frame.
+    """
+    try:
+        message = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=READ_LIMIT_WORDS)
+        return _READ_BY_NAME[str(message.which())](message)
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise FrameRejected(f"undecodable frame of {len(data)} bytes: {error}") from error
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """Return the frames that are complete.
+
+        Raises
+        ------
+        FrameRejected
+            If a length is impossible or a frame cannot be read.
+        """
+        self._buffer += data
+        frames = []
+        while len(self._buffer) >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(self._buffer)
+            if length > MAX_FRAME_BYTES:
+                raise FrameRejected(f"frame of {length} bytes")
+            end = LENGTH.size + length
+            if len(self._buffer) < end:
+                break
+            frames.append(decode(bytes(self._buffer[LENGTH.size : end])))
+            del self._buffer[:end]
+        return frames
+
+
+def _microseconds(seconds: float) -> int:
+    return min(max(int(seconds * MICROSECONDS), 0), MAX_UINT32)
+
+
+def _fill_load(target: Any, load: GateLoad) -> None:
+    target.instance = load.instance
+    target.service = load.service
+    target.open = load.open
+    target.slots = min(load.slots, MAX_UINT16)
+    target.limit = min(load.limit, MAX_UINT16)
+    target.running = min(load.running, MAX_UINT16)
+    target.waiting = min(load.waiting, MAX_UINT16)
+    target.slowdownPercent = min(int(load.slowdown * 100), MAX_UINT16)
+    target.slowdownAgeMs = min(int(load.slowdown_age_s * 1000), MAX_UINT16)
+    target.cold = load.cold
+
+
+def _read_load(source: Any) -> GateLoad:
+    return GateLoad(
+        InstanceId(source.instance),
+        ServiceName(source.service),
+        source.open,
+        source.slots,
+        source.limit,
+        source.running,
+        source.waiting,
+        source.slowdownPercent / 100,
+        source.slowdownAgeMs / 1000,
+        source.cold,
+    )
+
+
+def _fill_hello(message: Any, frame: Hello) -> None:
+    target = message.init("hello")
+    target.node = frame.node
+    target.domain = frame.domain
+    target.documentVersion = frame.document_version
+
+
+def _read_hello(message: Any) -> Hello:
+    source = message.hello
+    return Hello(NodeId(source.node), FailureDomain(source.domain), source.documentVersion)
+
+
+def _fill_request(message: Any, frame: ForwardedRequest) -> None:
+    target = message.init("request")
+    target.number = frame.number
+    target.budget = _microseconds(frame.budget_s)
+    target.sentAt = int(frame.sent_at * MICROSECONDS)
+    target.targetTime = _microseconds(frame.target_s)
+    target.route = frame.route
+    target.rank = frame.rank
+    target.idempotent = frame.idempotent
+    target.again = frame.again
+    target.method = frame.method
+    target.path = frame.path
+    target.head = frame.head
+    target.body = frame.body
+    target.instance = frame.instance
+
+
+def _read_request(message: Any) -> ForwardedRequest:
+    source = message.request
+    return ForwardedRequest(
+        source.number,
+        source.budget / MICROSECONDS,
+        source.sentAt / MICROSECONDS,
+        source.targetTime / MICROSECONDS,
+        source.route,
+        source.rank,
+        source.idempotent,
+        source.again,
+        source.method,
+        source.path,
+        source.head,
+        source.body,
+        InstanceId(source.instance),
+    )
+
+
+def _fill_answer(message: Any, frame: InstanceAnswer) -> None:
+    target = message.init("answer")
+    target.number = frame.number
+    target.status = frame.status
+    target.head = frame.head
+    target.body = frame.body
+    _fill_load(target.load, frame.load)
+
+
+def _read_answer(message: Any) -> InstanceAnswer:
+    source = message.answer
+    load = _read_load(source.load)
+    return InstanceAnswer(source.number, source.status, source.head, source.body, load)
+
+
+def _fill_refusal(message: Any, frame: Refusal) -> None:
+    target = message.init("refusal")
+    target.number = frame.number
+    target.kind = frame.kind.value
+    target.ran = frame.ran.value
+    target.waitMs = int(frame.wait_s * 1000)
+    _fill_load(target.load, frame.load)
+
+
+def _read_refusal(message: Any) -> Refusal:
+    source = message.refusal
+    return Refusal(
+        source.number,
+        ErrorKind(source.kind),
+        Ran(str(source.ran)),
+        source.waitMs / 1000,
+        _read_load(source.load),
+    )
+
+
+def _fill_document(message: Any, frame: DocumentFrame) -> None:
+    target = message.init("document")
+    target.version = frame.version
+    target.data = frame.data
+
+
+_FILL_BY_TYPE: dict[type, Callable[[Any, Any], None]] = {
+    Hello: _fill_hello,
+    ForwardedRequest: _fill_request,
+    Cancel: lambda message, frame: setattr(message, "cancel", frame.number),
+    InstanceAnswer: _fill_answer,
+    Refusal: _fill_refusal,
+    GateLoad: lambda message, frame: _fill_load(message.init("load"), frame),
+    LinkPing: lambda message, frame: setattr(message, "ping", frame.number),
+    LinkPong: lambda message, frame: setattr(message, "pong", frame.number),
+    WantDocument: lambda message, frame: setattr(message, "wantDocument", frame.have),
+    DocumentFrame: _fill_document,
+}
+
+_READ_BY_NAME: dict[str, Callable[[Any], Frame]] = {
+    "hello": _read_hello,
+    "request": _read_request,
+    "cancel": lambda message: Cancel(message.cancel),
+    "answer": _read_answer,
+    "refusal": _read_refusal,
+    "load": lambda message: _read_load(message.load),
+    "ping": lambda message: LinkPing(message.ping),
+    "pong": lambda message: LinkPong(message.pong),
+    "wantDocument": lambda message: WantDocument(message.wantDocument),
+    "document": lambda message: DocumentFrame(message.document.version, message.document.data),
+}
--- /dev/null
+++ b/peridottrack/gate.py
@@ -0,0 +1,320 @@
+"""The gate: decides what runs at the instance beside this node, without network.
+
+It alone knows exactly what runs and waits at its instance. A request runs at once while there is
+room below the limit; otherwise it waits in order of rank and deadline, and is refused as not run
+as soon as the forecast says that it cannot be answered in time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from peridottrack.dialect import LoadFigures
+from peridottrack.frames import GateLoad
+from peridottrack.types import Clock, InstanceId, ServiceName
+
+RUN_WEIGHT = 0.1
+"""Weight of a new run time in its moving average: about the last ten runs of a route count."""
+FIRST_RUN_S = 0.1
+"""Run time that is assumed of a route that never ran here."""
+SLOWDOWN_HOLD_S = 0.25
+"""Age at which a slowdown that was told is no longer believed."""
+KNEE_SHARE = 0.8
+"""Share of its slots above which an instance may slow down; see `KneeDetector`."""
+KNEE_FACTOR = 1.25
+"""Slowdown above that share from which fewer slots do more work: the inverse of the share."""
+KNEE_SAMPLES = 20
+"""Runs on each side that a verdict needs."""
+WAITING_PER_SLOT = 3
+"""Requests that may wait for each slot, so that memory is bounded."""
+
+
+class GateState(Enum):
+    """Whether the instance takes requests."""
+
+    ABSENT = "absent"
+    OPEN = "open"
+    LEAVING = "leaving"
+
+
+class Verdict(Enum):
+    """What the gate decided about a request."""
+
+    RUN = "run"
+    CLOSED = "closed"
+    FULL = "full"
+    TOO_LATE = "too_late"
+    WRONG_INSTANCE = "wrong_instance"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request at the gate.
+
+    Parameters
+    ----------
+    deadline
+        Seconds of the gate's clock after which an answer is useless.
+    decided
+        Called once with the verdict.
+    """
+
+    route: str
+    rank: int
+    deadline: float
+    decided: Callable[[Verdict], None]
+    came_at: float = 0.0
+    started_at: float = 0.0
+    running_at_start: int = 0
+    slowdown_at_start: float = 1.0
+    waiting: bool = False
+
+
+@dataclass(slots=True)
+class KneeDetector:
+    """Finds out whether the instance slows down when it is nearly full.
+
+    Compares run times, relative to their route's usual one, between starts above and below
+    `KNEE_SHARE` of the slots.
+    """
+
+    below: float = 1.0
+    above: float = 1.0
+    below_count: int = 0
+    above_count: int = 0
+
+    def add(self, relative: float, high: bool) -> None:
+        """Take in one run."""
+        if high:
+            self.above_count += 1
+            self.above += (relative - self.above) / min(self.above_count, KNEE_SAMPLES)
+        else:
+            self.below_count += 1
+            self.below += (relative - self.below) / min(self.below_count, KNEE_SAMPLES)
+
+    @property
+    def found(self) -> bool:
+        """Whether more requests than the share do less work."""
+        enough = min(self.above_count, self.below_count) >= KNEE_SAMPLES
+        return enough and self.above > KNEE_FACTOR * self.below
+
+
+@dataclass(slots=True)
+class _RunTime:
+    """Moving average of a route's run time at usual speed, in seconds."""
+
+    mean_s: float = FIRST_RUN_S
+    count: int = 0
+
+    def add(self, seconds: float) -> None:
+        self.count += 1
+        self.mean_s += (seconds - self.mean_s) * max(RUN_WEIGHT, 1.0 / self.count)
+
+
+@dataclass(slots=True)
+class Beside:
+    """What is known of the instance beside this node."""
+
+    instance: InstanceId = InstanceId("")
+    service: ServiceName = ServiceName("")
+    slots: int = 0
+    state: GateState = GateState.ABSENT
+    warm_at: float = 0.0
+    knee: KneeDetector = field(default_factory=KneeDetector)
+
+
+class Gate:
+    """Admission to one instance.
+
+    Attributes
+    ----------
+    changed
+        Called when something changed that other nodes should hear: True if it is urgent.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._queue: list[tuple[int, float, int, Ticket]] = []
+        self._run_time_by_route: dict[str, _RunTime] = {}
+        self._mean_run = _RunTime()
+        self._slowdown = 1.0
+        self._slowdown_at = float("-inf")
+        self.beside = Beside()
+        self.running = 0
+        self.waiting = 0
+        self.stopping = False
+        self.changed: Callable[[bool], None] = lambda urgent: None
+
+    # -- the instance ------------------------------------------------------------------
+
+    def open(
+        self, instance: InstanceId, service: ServiceName, slots: int, warm_in_s: float
+    ) -> None:
+        """Take in that an instance is ready; a new id starts from nothing."""
+        if instance != self.beside.instance:
+            self.close(Verdict.WRONG_INSTANCE)
+            self.beside = Beside(instance, service)
+        beside = self.beside
+        before = (beside.state, beside.slots)
+        beside.slots = slots
+        beside.state = GateState.OPEN
+        beside.warm_at = self._clock.now() + warm_in_s
+        if before != (beside.state, beside.slots):
+            self.changed(True)
+
+    def close(self, verdict: Verdict = Verdict.CLOSED) -> None:
+        """Take in that the instance leaves: nothing more starts on it."""
+        if self.beside.state is not GateState.ABSENT:
+            self.beside.state = GateState.LEAVING
+        for _, _, _, ticket in self._queue:
+            if ticket.waiting:
+                ticket.waiting = False
+                ticket.decided(verdict)
+        self._queue.clear()
+        self.waiting = 0
+        self.changed(True)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether new requests are taken."""
+        return self.beside.state is GateState.OPEN and not self.stopping
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at the same time."""
+        slots = self.beside.slots
+        return max(1, int(slots * KNEE_SHARE)) if self.beside.knee.found else slots
+
+    def hear_load(self, figures: LoadFigures) -> None:
+        """Take in what the instance said with an answer."""
+        slow_before = self.slowdown() > 1.0
+        self._slowdown = figures.slowdown
+        self._slowdown_at = self._clock.now()
+        if figures.slots and figures.slots != self.beside.slots:
+            self.beside.slots = figures.slots
+        if slow_before != (figures.slowdown > 1.0):
+            self.changed(True)
+
+    def slowdown(self) -> float:
+        """Return how much longer than usual work takes, as far as that is still believed."""
+        if self._clock.now() - self._slowdown_at > SLOWDOWN_HOLD_S:
+            return 1.0
+        return self._slowdown
+
+    def load(self) -> GateLoad:
+        """Return what other nodes are told."""
+        now = self._clock.now()
+        beside = self.beside
+        return GateLoad(
+            beside.instance,
+            beside.service,
+            self.is_open,
+            beside.slots,
+            self.limit,
+            self.running,
+            self.waiting,
+            self._slowdown,
+            min(now - self._slowdown_at, 60.0),
+            now < beside.warm_at,
+        )
+
+    # -- requests ----------------------------------------------------------------------
+
+    def ask(self, ticket: Ticket, instance: InstanceId) -> None:
+        """Ask to run a request; ``decided`` is called now or when its turn comes."""
+        ticket.came_at = self._clock.now()
+        refusal = self._refusal(ticket, instance)
+        if refusal is not None:
+            ticket.decided(refusal)
+        elif self.running < self.limit:
+            self._start(ticket)
+        else:
+            ticket.waiting = True
+            self.waiting += 1
+            entry = (ticket.rank, ticket.deadline, next(self._numbers), ticket)
+            heapq.heappush(self._queue, entry)
+
+    def _refusal(self, ticket: Ticket, instance: InstanceId) -> Verdict | None:
+        if not self.is_open:
+            return Verdict.CLOSED
+        if instance != self.beside.instance:
+            return Verdict.WRONG_INSTANCE
+        if self.running < self.limit:
+            return None
+        if self.waiting >= WAITING_PER_SLOT * self.beside.slots:
+            return Verdict.FULL
+        if ticket.came_at + self.forecast_s(ticket) > ticket.deadline:
+            return Verdict.TOO_LATE
+        return None
+
+    def forecast_s(self, ticket: Ticket) -> float:
+        """Return the seconds that a request would wait and run if it joined the queue now."""
+        ahead = sum(
+            1
+            for rank, deadline, _, other in self._queue
+            if other.waiting and (rank, deadline) <= (ticket.rank, ticket.deadline)
+        )
+        wait_s = (ahead + 1) * self._mean_run.mean_s * self.slowdown() / max(self.limit, 1)
+        return wait_s + self.run_s(ticket.route)
+
+    def run_s(self, route: str) -> float:
+        """Return the usual run time of a route."""
+        run_time = self._run_time_by_route.get(route)
+        return run_time.mean_s if run_time is not None else self._mean_run.mean_s
+
+    def give_up(self, ticket: Ticket) -> bool:
+        """Take a request back that still waits; False if it was decided already."""
+        if not ticket.waiting:
+            return False
+        ticket.waiting = False
+        self.waiting -= 1
+        return True
+
+    def finished(self, ticket: Ticket, ran: bool) -> None:
+        """Take in that a request no longer runs, and start those that wait.
+
+        Parameters
+        ----------
+        ran
+            Whether it ran to its end, so that its duration tells something.
+        """
+        self.running -= 1
+        if ran:
+            self._learn(ticket)
+        self._start_waiting()
+
+    def _learn(self, ticket: Ticket) -> None:
+        seconds = self._clock.now() - ticket.started_at
+        slowdown = max(ticket.slowdown_at_start, 1.0)
+        usual_s = self.run_s(ticket.route)
+        if slowdown == 1.0 and usual_s > 0:
+            high = ticket.running_at_start > KNEE_SHARE * self.beside.slots
+            self.beside.knee.add(min(seconds / usual_s, 4.0), high)
+        run_time = self._run_time_by_route.setdefault(ticket.route, _RunTime())
+        run_time.add(seconds / slowdown)
+        self._mean_run.add(seconds / slowdown)
+
+    def _start_waiting(self) -> None:
+        while self._queue and self.running < self.limit:
+            ticket = heapq.heappop(self._queue)[3]
+            if not ticket.waiting:
+                continue
+            ticket.waiting = False
+            self.waiting -= 1
+            now = self._clock.now()
+            if now + self.run_s(ticket.route) * 0.5 > ticket.deadline:
+                ticket.decided(Verdict.TOO_LATE)
+            else:
+                self._start(ticket)
+
+    def _start(self, ticket: Ticket) -> None:
+        self.running += 1
+        ticket.started_at = self._clock.now()
+        ticket.running_at_start = self.running
+        ticket.slowdown_at_start = self.slowdown()
+        ticket.decided(Verdict.RUN)
--- /dev/null
+++ b/peridottrack/link.py
@@ -0,0 +1,529 @@
+"""Connections between nodes: many requests on one, watched for silence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from peridottrack import log
+from peridottrack.controllers.gate import GateController
+from peridottrack.exceptions import FrameRejected, LinkLost
+from peridottrack.frames import (
+    Cancel,
+    DocumentFrame,
+    ForwardedRequest,
+    Frame,
+    FrameReader,
+    GateLoad,
+    Hello,
+    InstanceAnswer,
+    LinkPing,
+    LinkPong,
+    Refusal,
+    WantDocument,
+    encode,
+)
+from peridottrack.types import Clock, Endpoint, FailureDomain, NodeId
+
+TICK_S = 0.1
+"""How often a link looks at the time."""
+PING_IDLE_S = 1.0
+"""Silence after which an idle link is asked for a sign of life."""
+PING_BUSY_S = 0.2
+"""The same while an answer is waited for."""
+SUSPECT_S = 0.45
+"""Silence after a ping from which the other side gets no new requests."""
+LOST_S = 2.0
+"""Silence from which the connection is given up: well above a slow host's longest pause."""
+CONNECT_TIMEOUT_S = 1.0
+"""A host that does not accept within this is away."""
+RECONNECT_MIN_S = 0.1
+RECONNECT_MAX_S = 2.0
+"""Bounds of the pause between two attempts to connect; it doubles."""
+MAX_UNSENT_BYTES = 4 << 20
+"""Unsent bytes above which a link takes no more requests."""
+HELD_UP_WINDOW_S = 2.0
+"""How long the quickest way of a frame is remembered to measure later ones by."""
+
+Outcome = InstanceAnswer | Refusal
+HeardLoad = Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHooks:
+    """What a link tells the rest of the node.
+
+    Parameters
+    ----------
+    document
+        Returns the document in force, None if there is none.
+    take_document
+        Called with a document that the other side sent.
+    version_heard
+        Called with a document version that the other side has.
+    """
+
+    document: Callable[[], DocumentFrame | None]
+    take_document: Callable[[DocumentFrame], None]
+
+
+class GateRoute(Protocol):
+    """A way to a gate, over a link or within the process."""
+
+    domain: FailureDomain
+    load: GateLoad | None
+    heard_at: float
+
+    @property
+    def usable(self) -> bool:
+        """Whether requests may be sent now."""
+        ...
+
+    @property
+    def outstanding(self) -> int:
+        """Requests sent and not answered."""
+        ...
+
+    def sent_since_heard(self) -> int:
+        """Requests sent after the load figures came."""
+        ...
+
+    async def ask(self, request: ForwardedRequest) -> Outcome:
+        """Send a request and wait for its outcome; cancelling it gives the request up.
+
+        Raises
+        ------
+        LinkLost
+            If the connection ended first; the request may have run.
+        """
+        ...
+
+
+class _HeldUp:
+    """Tells how much longer than the quickest a frame took, from clocks that do not agree."""
+
+    def __init__(self) -> None:
+        self._current = float("inf")
+        self._previous = float("inf")
+        self._turned_at = float("-inf")
+
+    def reset(self) -> None:
+        """Start anew, since the other side's clock may have stood still."""
+        self._current = self._previous = float("inf")
+
+    def seconds(self, sent_at: float, now: float) -> float:
+        """Take in one frame."""
+        if now - self._turned_at > HELD_UP_WINDOW_S:
+            self._turned_at = now
+            self._previous, self._current = self._current, float("inf")
+        taken = now - sent_at
+        self._current = min(self._current, taken)
+        return taken - min(self._current, self._previous)
+
+
+class LinkServer:
+    """Accepts connections of other nodes and hands their requests to the gate."""
+
+    def __init__(self, gate: GateController, hooks: LinkHooks, clock: Clock) -> None:
+        self.gate = gate
+        self.hooks = hooks
+        self.clock = clock
+        self.connections: set[LinkServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: LinkServerConnection(self), host, port, backlog=1024
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def tell(self, frame: Frame, talkers: int) -> int:
+        """Send a frame to those nodes that asked last; return the bytes sent."""
+        recent = sorted(self.connections, key=lambda one: -one.asked_at)[:talkers]
+        data = encode(frame)
+        for connection in recent:
+            connection.write(data)
+        return len(data) * len(recent)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of other nodes that are at work here."""
+        return sum(len(connection.task_by_number) for connection in self.connections)
+
+    def stop(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+class LinkServerConnection(asyncio.Protocol):
+    """One node that sends requests here."""
+
+    def __init__(self, server: LinkServer) -> None:
+        self._server = server
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._held_up = _HeldUp()
+        self.task_by_number: dict[int, asyncio.Task[None]] = {}
+        self.asked_at = 0.0
+        self.node = NodeId("")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tell the other side of the instance here."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self.write(encode(self._server.gate.gate.load()))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what the other side can no longer take."""
+        self._transport = None
+        self._server.connections.discard(self)
+        for task in self.task_by_number.values():
+            task.cancel()
+        self.task_by_number.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the frames that are complete."""
+        try:
+            frames = self._reader.feed(data)
+        except FrameRejected as error:
+            log.warning("frame rejected", node=self.node, error=str(error))
+            self.close()
+            return
+        for frame in frames:
+            handler = _SERVER_HANDLERS.get(type(frame))
+            if handler is not None:
+                handler(self, frame)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the connection is gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def take_hello(self, frame: Hello) -> None:
+        """Learn who it is."""
+        self.node = frame.node
+        self._held_up.reset()
+        document = self._server.hooks.document()
+        if document is not None and document.version > frame.document_version:
+            self.write(encode(document))
+
+    def take_request(self, frame: ForwardedRequest) -> None:
+        """Hand a request to the gate."""
+        now = self._server.clock.now()
+        self.asked_at = now
+        held_up_s = self._held_up.seconds(frame.sent_at, now)
+
+        def reply(answer: Frame) -> None:
+            self.task_by_number.pop(frame.number, None)
+            self.write(encode(answer))
+
+        task = self._server.gate.start(frame, reply, held_up_s)
+        self.task_by_number[frame.number] = task
+        task.add_done_callback(lambda _: self.task_by_number.pop(frame.number, None))
+
+    def take_cancel(self, frame: Cancel) -> None:
+        """Give a request up."""
+        task = self.task_by_number.pop(frame.number, None)
+        if task is not None:
+            task.cancel()
+
+    def take_ping(self, frame: LinkPing) -> None:
+        """Answer a ping."""
+        self.write(encode(LinkPong(frame.number)))
+
+    def take_want(self, frame: WantDocument) -> None:
+        """Send the document if it is newer."""
+        document = self._server.hooks.document()
+        if document is not None and document.version > frame.have:
+            self.write(encode(document))
+
+    def take_document(self, frame: DocumentFrame) -> None:
+        """Take in a document that the other side has."""
+        self._server.hooks.take_document(frame)
+
+
+_SERVER_HANDLERS: dict[type, Callable[..., None]] = {
+    Hello: LinkServerConnection.take_hello,
+    ForwardedRequest: LinkServerConnection.take_request,
+    Cancel: LinkServerConnection.take_cancel,
+    LinkPing: LinkServerConnection.take_ping,
+    WantDocument: LinkServerConnection.take_want,
+    DocumentFrame: LinkServerConnection.take_document,
+}
+
+
+class LocalRoute:
+    """The gate of this very process."""
+
+    def __init__(self, gate: GateController, domain: FailureDomain, clock: Clock) -> None:
+        self._gate = gate
+        self._clock = clock
+        self.domain = domain
+        self.outstanding = 0
+
+    @property
+    def load(self) -> GateLoad | None:
+        """The gate's figures, always fresh."""
+        return self._gate.gate.load()
+
+    @property
+    def heard_at(self) -> float:
+        """Now."""
+        return self._clock.now()
+
+    @property
+    def usable(self) -> bool:
+        """A gate within the process is always reached."""
+        return True
+
+    def sent_since_heard(self) -> int:
+        """Nothing is unknown here."""
+        return 0
+
+    async def ask(self, request: ForwardedRequest) -> Outcome:
+        """Hand a request to the gate and wait."""
+        answer: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
+        task = self._gate.start(request, answer.set_result)
+        self.outstanding += 1
+        try:
+            found = await answer
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        finally:
+            self.outstanding -= 1
+        assert isinstance(found, InstanceAnswer | Refusal)
+        return found
+
+
+class Link:
+    """The connection to one other node's gate; connects again by itself."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        domain: FailureDomain,
+        me: Callable[[], Hello],
+        hooks: LinkHooks,
+        clock: Clock,
+    ) -> None:
+        self._endpoint = endpoint
+        self.domain = domain
+        self._me = me
+        self.hooks = hooks
+        self._clock = clock
+        self._connection: _LinkConnection | None = None
+        self._waiter_by_number: dict[int, asyncio.Future[Outcome]] = {}
+        self._sent_at_by_number: dict[int, float] = {}
+        self.load: GateLoad | None = None
+        self.heard_at = float("-inf")
+        self._pinged_at = float("-inf")
+        self._ticked_at = float("-inf")
+        self._pings = 0
+        self._wake = asyncio.Event()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the other side is there and answers."""
+        connection = self._connection
+        return (
+            connection is not None
+            and self.load is not None
+            and not self._suspect(self._clock.now())
+            and connection.unsent_bytes() < MAX_UNSENT_BYTES
+        )
+
+    @property
+    def outstanding(self) -> int:
+        """Requests sent and not answered."""
+        return len(self._waiter_by_number)
+
+    def _suspect(self, now: float) -> bool:
+        return self._pinged_at > self.heard_at and now - self._pinged_at > SUSPECT_S
+
+    def sent_since_heard(self) -> int:
+        """Return the number of requests sent after the load figures came."""
+        return sum(sent_at > self.heard_at for sent_at in self._sent_at_by_number.values())
+
+    async def run(self) -> None:
+        """Keep the connection up until cancelled."""
+        pause_s = RECONNECT_MIN_S
+        try:
+            while True:
+                connection = await self._connect()
+                if connection is None:
+                    self._wake.clear()
+                    try:
+                        async with asyncio.timeout(pause_s):
+                            await self._wake.wait()
+                    except TimeoutError:
+                        pause_s = min(RECONNECT_MAX_S, pause_s * 2)
+                    continue
+                pause_s = RECONNECT_MIN_S
+                await self._watch(connection)
+                await asyncio.sleep(RECONNECT_MIN_S)
+        finally:
+            if self._connection is not None:
+                self._connection.close()
+
+    def wake(self) -> None:
+        """Try to connect now, since the other side was heard of."""
+        self._wake.set()
+
+    async def _connect(self) -> _LinkConnection | None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: _LinkConnection(self), self._endpoint.host, self._endpoint.port
+                )
+        except (OSError, TimeoutError) as error:
+            log.debug("link", "not connected", peer=str(self._endpoint), error=repr(error))
+            return None
+        self._connection = connection
+        self.heard_at = self._clock.now()
+        connection.write(self._me())
+        log.event("link up", peer=str(self._endpoint))
+        return connection
+
+    async def _watch(self, connection: _LinkConnection) -> None:
+        while self._connection is connection:
+            await asyncio.sleep(TICK_S)
+            now = self._clock.now()
+            if now - self._ticked_at > 5 * TICK_S:
+                # This process stood still: what is heard next tells more than the silence.
+                connection.write(self._me())
+                self.heard_at = max(self.heard_at, now - PING_IDLE_S)
+            self._ticked_at = now
+            silent_s = now - self.heard_at
+            if silent_s > LOST_S:
+                log.event("link silent", peer=str(self._endpoint), silent_s=round(silent_s, 2))
+                connection.abort()
+                self.lost(connection, "silent")
+            elif silent_s > (PING_BUSY_S if self._waiter_by_number else PING_IDLE_S):
+                self._ping(connection, now)
+
+    def _ping(self, connection: _LinkConnection, now: float) -> None:
+        if self._pinged_at > self.heard_at and now - self._pinged_at < PING_IDLE_S:
+            return
+        if self._pinged_at <= self.heard_at:
+            self._pinged_at = now
+        self._pings += 1
+        connection.write(LinkPing(self._pings))
+
+    # -- what the connection reports ---------------------------------------------------
+
+    def heard(self, frame: Frame) -> None:
+        """Take in a frame."""
+        self.heard_at = self._clock.now()
+        if isinstance(frame, GateLoad):
+            self.load = frame
+        elif isinstance(frame, InstanceAnswer | Refusal):
+            self.load = frame.load
+            self._sent_at_by_number.pop(frame.number, None)
+            waiter = self._waiter_by_number.pop(frame.number, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(frame)
+        elif isinstance(frame, DocumentFrame):
+            self.hooks.take_document(frame)
+
+    def lost(self, connection: _LinkConnection, reason: str) -> None:
+        """Fail all that waits for an answer."""
+        if self._connection is not connection:
+            return
+        self._connection = None
+        self.load = None
+        log.event(
+            "link lost", peer=str(self._endpoint), reason=reason, waiting=len(self._waiter_by_number)
+        )
+        for waiter in self._waiter_by_number.values():
+            if not waiter.done():
+                waiter.set_exception(LinkLost(f"{self._endpoint}: {reason}"))
+        self._waiter_by_number.clear()
+        self._sent_at_by_number.clear()
+
+    # -- requests ----------------------------------------------------------------------
+
+    async def ask(self, request: ForwardedRequest) -> Outcome:
+        """Send a request and wait for its outcome."""
+        connection = self._connection
+        if connection is None:
+            raise LinkLost(f"{self._endpoint}: not connected", sent=False)
+        waiter: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        self._waiter_by_number[request.number] = waiter
+        self._sent_at_by_number[request.number] = self._clock.now()
+        connection.write(request)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            if self._waiter_by_number.pop(request.number, None) is not None:
+                connection.write(Cancel(request.number))
+            self._sent_at_by_number.pop(request.number, None)
+            raise
+
+    def send(self, frame: Frame) -> bool:
+        """Send a frame that needs no answer; False if there is no connection."""
+        if self._connection is None:
+            return False
+        self._connection.write(frame)
+        return True
+
+
+class _LinkConnection(asyncio.Protocol):
+    """The connecting side's transport."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Hand frames on."""
+        try:
+            for frame in self._reader.feed(data):
+                self._link.heard(frame)
+        except FrameRejected as error:
+            log.warning("frame rejected", error=str(error))
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the link."""
+        self._transport = None
+        self._link.lost(self, str(exc or "closed by the other side"))
+
+    def unsent_bytes(self) -> int:
+        """Return what the other side has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def write(self, frame: Frame) -> None:
+        """Send a frame unless the connection is gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode(frame))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection."""
+        if self._transport is not None:
+            self._transport.abort()
--- /dev/null
+++ b/peridottrack/mesh.py
@@ -0,0 +1,280 @@
+"""Assembly of a node with a gate: callers' side, gate, links, members and document."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+import aiohttp
+from aiohttp import web
+
+from peridottrack import log
+from peridottrack.clock import LoopClock
+from peridottrack.config import MeshSettings, parse_endpoint
+from peridottrack.controllers.beside import BesideController
+from peridottrack.controllers.follow import FollowController
+from peridottrack.controllers.gate import GateController
+from peridottrack.controllers.links import LinksController
+from peridottrack.controllers.members import Directory, MembersController, Reachable
+from peridottrack.datagrams import Datagrams
+from peridottrack.debug import process_facts
+from peridottrack.dialect import Dialect
+from peridottrack.forward import Forwarder
+from peridottrack.frames import DocumentFrame, Hello
+from peridottrack.ingress import Ingress
+from peridottrack.link import LinkHooks, LinkServer, LocalRoute
+from peridottrack.messages import MemberState, MemberUpdate
+from peridottrack.metrics import Metrics
+from peridottrack.placement import Placement
+from peridottrack.routing import RouteTable
+from peridottrack.seconds import SecondSends
+from peridottrack.sources import DocumentReader, DocumentSource
+from peridottrack.types import Clock, FailureDomain, NodeId, Region, ServiceName
+from peridottrack.wire import Sealer
+
+JOIN_PAUSE_S = 1.0
+"""Pause before the store is asked again for the first nodes; it doubles up to the next figure."""
+JOIN_PAUSE_MAX_S = 4.0
+QUESTIONS_UNREADY = 2
+"""Answers that the node is not ready after which nobody sends new callers here."""
+AFTER_QUESTION_S = 0.15
+"""Time for connections that were opened before the last of these answers."""
+CLOSE_MARGIN_S = 0.4
+"""Time before the end of a shutdown that is left for closing connections."""
+LOOK_S = 0.02
+"""How often a shutdown looks whether all work is done."""
+
+
+class Adapter(Protocol):
+    """The ways in which a deployment's platform speaks."""
+
+    dialect: Dialect
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return a session for calls to the store."""
+        ...
+
+    def document_reader(self) -> DocumentReader:
+        """Return the decoder of documents."""
+        ...
+
+    def directory(self, session: aiohttp.ClientSession, url: str, timeout_s: float) -> Directory:
+        """Return the list of nodes in the store."""
+        ...
+
+    def documents(self, session: aiohttp.ClientSession, url: str, timeout_s: float) -> Any:
+        """Return the document in the store, a `DocumentSource`."""
+        ...
+
+    def announce_app(self, beside: BesideController) -> web.Application:
+        """Return the application to which the instance announces itself."""
+        ...
+
+    def ready_app(self, ready: Callable[[], bool]) -> web.Application:
+        """Return the application that answers whether the node is ready."""
+        ...
+
+
+class MeshNode:
+    """One node, built from its settings."""
+
+    def __init__(self, settings: MeshSettings, adapter: Adapter, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self._adapter = adapter
+        self._clock = clock or LoopClock()
+        self._rng = random.Random()
+        self.metrics = Metrics()
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._runners: list[web.BaseRunner] = []
+        self._leaving = False
+        self._unready_answers = 0
+        self._unready_at = 0.0
+
+    async def start(self) -> None:
+        """Begin to listen, then find the others."""
+        self._build()
+        gossip = parse_endpoint(self.settings.gossip_address)
+        await self.datagrams.start(gossip.host, gossip.port)
+        link = parse_endpoint(self.settings.link_address)
+        await self.link_server.start(link.host, link.port)
+        await self._listen(
+            self._adapter.announce_app(self.beside), self.settings.announce_address
+        )
+        await self._listen(self._adapter.ready_app(self._is_ready), self.settings.ready_address)
+        callers = parse_endpoint(self.settings.callers_address)
+        await self.ingress.start(callers.host, callers.port)
+        self._spawn(self.members.run())
+        self._spawn(self._join())
+        self._spawn(self.follow.run())
+        log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
+
+    async def leave(self) -> bool:
+        """Shut down without harm; False if the time allowed was not enough."""
+        started_at = self._clock.now()
+        deadline = started_at + self.settings.shutdown_s - CLOSE_MARGIN_S
+        log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._forwarded)
+        self._leaving = True
+        self.gate.gate.stopping = True
+        self.gate.gate.changed(True)
+        self.ingress.begin_close()
+        while self._clock.now() < deadline and not self._may_close():
+            await asyncio.sleep(LOOK_S)
+        idle = not self.ingress.in_flight and not self._forwarded
+        self.members.membership.leave(self._clock.now())
+        await self.close()
+        log.event(
+            "node left", idle=idle, took_s=round(self._clock.now() - started_at, 3)
+        )
+        return idle
+
+    @property
+    def _forwarded(self) -> int:
+        return self.link_server.in_flight + self.gate.gate.running
+
+    def _may_close(self) -> bool:
+        known = self._unready_answers >= QUESTIONS_UNREADY
+        settled = known and self._clock.now() - self._unready_at > AFTER_QUESTION_S
+        return settled and not self.ingress.in_flight and not self._forwarded
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.ingress.stop()
+        await self.links.stop()
+        self.link_server.stop()
+        self.gate.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.session.close()
+        await self.datagrams.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all controllers."""
+        return {
+            "members": self.members.dump(),
+            "document": self.follow.dump(),
+            "gate": str(self.gate.gate.load()),
+            "links": {node: str(load) for node, load in self.links.load_frames().items()},
+            "process": process_facts(),
+        }
+
+    # -- assembly ----------------------------------------------------------------------
+
+    def _build(self) -> None:
+        settings, clock, rng = self.settings, self._clock, self._rng
+        dialect = self._adapter.dialect
+        domain = FailureDomain(settings.failure_domain)
+        self.session = self._adapter.session()
+        me = self._me()
+        self.datagrams = Datagrams(
+            Sealer(settings.message_keys, me.node, me.incarnation), self.metrics
+        )
+        self.gate = GateController(parse_endpoint(settings.upstream_address), dialect, clock)
+        self.beside = BesideController(self.gate.gate, ServiceName(settings.service), clock)
+        self.members = MembersController(
+            me,
+            self._adapter.directory(self.session, settings.store_url, settings.store_timeout_s),
+            self.datagrams,
+            clock,
+            rng,
+            self.metrics,
+            self._hear_version,
+        )
+        source: DocumentSource = self._adapter.documents(
+            self.session, settings.store_url, settings.store_timeout_s
+        )
+        self.follow = FollowController(
+            me.node,
+            source,
+            self._adapter.document_reader(),
+            self.members.membership.present,
+            self.members.set_store_away,
+            self._take_document,
+            clock,
+            rng,
+        )
+        hooks = LinkHooks(lambda: self.follow.frame, self.follow.take_frame)
+        self.link_server = LinkServer(self.gate, hooks, clock)
+        own = LocalRoute(self.gate, domain, clock)
+        self.links = LinksController(self._hello, own, self.link_server, hooks, clock)
+        self.gate.gate.changed = self.links.tell_load
+        self.forwarder = Forwarder(
+            lambda: self.follow.table,
+            self.links.routes_of,
+            Placement(domain, clock, rng),
+            self._second_sends,
+            dialect,
+            settings.service,
+            clock,
+            rng,
+            self.metrics,
+        )
+        self.ingress = Ingress(self.forwarder.handle, self.forwarder.refuse, clock)
+        self.members.reachable.subscribe(self._take_members)
+
+    def _me(self) -> MemberUpdate:
+        return MemberUpdate(
+            NodeId(self.settings.gossip_address),
+            int(self._clock.wall() * 1000),
+            MemberState.ALIVE,
+            parse_endpoint(self.settings.link_address),
+            FailureDomain(self.settings.failure_domain),
+            Region(self.settings.region),
+        )
+
+    def _hello(self) -> Hello:
+        return Hello(
+            NodeId(self.settings.gossip_address),
+            FailureDomain(self.settings.failure_domain),
+            self.follow.version,
+        )
+
+    def _second_sends(self) -> SecondSends:
+        settings = self.settings
+        return SecondSends(
+            settings.second_ratio, settings.second_slack, settings.second_window_s, self._clock
+        )
+
+    # -- news --------------------------------------------------------------------------
+
+    def _take_members(self, reachable: Reachable) -> None:
+        self.forwarder.nodes = reachable.nodes
+        self.links.set_members(self.members.membership.present())
+
+    def _hear_version(self, node: NodeId, version: int) -> None:
+        if version > self.follow.version:
+            self.links.ask_document(node, self.follow.version)
+
+    def _take_document(self, table: RouteTable, frame: DocumentFrame) -> None:
+        self.ingress.limits = table.limits
+        self.members.set_document_version(table.version)
+        self.links.tell_document(frame)
+
+    def _is_ready(self) -> bool:
+        ready = not self._leaving and self.follow.table is not None
+        if self._leaving:
+            self._unready_answers += 1
+            self._unready_at = self._clock.now()
+        return ready
+
+    async def _join(self) -> None:
+        pause_s = JOIN_PAUSE_S
+        while not await self.members.join_once():
+            await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+            pause_s = min(JOIN_PAUSE_MAX_S, pause_s * 2)
+
+    # -- listening and background work -------------------------------------------------
+
+    async def _listen(self, app: web.Application, address: str) -> None:
+        endpoint = parse_endpoint(address)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
--- a/peridottrack/messages.capnp
+++ b/peridottrack/messages.capnp
@@ -25,6 +25,7 @@
   domain @4 :Text;
   region @5 :Text;
   instances @6 :List(InstanceInfo);
+  storeAway @7 :Bool;
 }
 
 struct LoadEntry {
--- a/peridottrack/messages.py
+++ b/peridottrack/messages.py
@@ -27,6 +27,8 @@
         The node's gossip address, ``IP:PORT``.
     incarnation
         Set by the node itself; a restart and every change make it higher.
+    store_away
+        Whether the platform's store did not answer the node's last call.
     """
 
     node: NodeId
@@ -36,6 +38,7 @@
     domain: FailureDomain
     region: Region
     instances: tuple[Instance, ...] = ()
+    store_away: bool = False
 
     def beats(self, other: MemberUpdate) -> bool:
         """Tell whether this is newer than what another update says of the same node."""
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -29,7 +29,7 @@
 from peridottrack.controllers.drain import DrainController
 from peridottrack.controllers.load import WAKE_INTERVAL_S, LoadController
 from peridottrack.controllers.measuring import MeasuringController
-from peridottrack.controllers.members import MembersController, Reachable
+from peridottrack.controllers.members import MembersController, Reachable, TableDirectory
 from peridottrack.datagrams import Datagrams
 from peridottrack.debug import process_facts
 from peridottrack.document import Document
@@ -144,7 +144,9 @@
             self.table, peers, settings.document_poll_s, clock, rng, metrics
         )
         self.members = MembersController(
-            me, self.table, self.datagrams, clock, rng, metrics, self.document.hear_version
+            me,
+            TableDirectory(self.table),
+            self.datagrams, clock, rng, metrics, self.document.hear_version
         )
         peers.members = self.members
         self.load = LoadController(
--- /dev/null
+++ b/peridottrack/platform/document.py
@@ -0,0 +1,79 @@
+"""Decodes the operators' document of the platform."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from peridottrack.exceptions import DocumentFaulty
+from peridottrack.routing import CallerLimits, Route, RouteTable, ServiceRule, Share
+from peridottrack.types import ServiceName
+
+KINDS = {"idempotent": True, "non_idempotent": False}
+
+
+def read_document(data: bytes) -> RouteTable:
+    """Decode the value of the row that holds the newest configuration.
+
+    Raises
+    ------
+    DocumentFaulty
+        With what is wrong.
+    """
+    try:
+        found = json.loads(data)
+        services = {
+            ServiceName(row["name"]): ServiceRule(row["health_path"], int(row["max_connections"]))
+            for row in _rows(found["services"])
+        }
+        routes = [_route(row, services) for row in _rows(found["routes"])]
+        return RouteTable(int(found["version"]), routes, services, _limits(found.get("limits")))
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise DocumentFaulty([f"{type(error).__name__}: {error}"]) from None
+
+
+def _rows(table: Any) -> list[dict[str, Any]]:
+    """Join column names and values; null means that a field is left out."""
+    columns = table["columns"]
+    return [
+        {name: value for name, value in zip(columns, row, strict=True) if value is not None}
+        for row in table["rows"]
+    ]
+
+
+def _route(row: dict[str, Any], services: dict[ServiceName, ServiceRule]) -> Route:
+    parts = row.get("split") or [{"service": row["service"], "weight": 1}]
+    shares = tuple(Share(ServiceName(part["service"]), float(part["weight"])) for part in parts)
+    unknown = [share.service for share in shares if share.service not in services]
+    prefix = row["prefix"]
+    if unknown:
+        raise ValueError(f"route {row['name']}: service {unknown[0]} is not described")
+    if min(share.weight for share in shares) < 0 or not sum(share.weight for share in shares):
+        raise ValueError(f"route {row['name']}: weights must be positive")
+    if not row["host"] or not prefix.startswith("/") or not prefix.endswith("/"):
+        raise ValueError(f"route {row['name']}: host or prefix is malformed")
+    timeout_s, attempts = float(row["timeout_s"]), int(row["attempts"])
+    if timeout_s <= 0 or attempts < 1:
+        raise ValueError(f"route {row['name']}: timeout and attempts must be positive")
+    return Route(
+        row["name"],
+        row["host"].lower(),
+        prefix,
+        KINDS[row["kind"]],
+        shares,
+        timeout_s,
+        float(row.get("target_latency_s", timeout_s)),
+        int(row.get("priority", 0)),
+        attempts,
+    )
+
+
+def _limits(found: dict[str, Any] | None) -> CallerLimits:
+    if found is None:
+        return CallerLimits()
+    return CallerLimits(
+        int(found["max_header_bytes"]),
+        int(found["max_body_bytes"]),
+        float(found["header_timeout_s"]),
+        float(found["idle_timeout_s"]),
+    )
--- /dev/null
+++ b/peridottrack/upstream.py
@@ -0,0 +1,292 @@
+"""Connections of a gate to the instance beside it: one request at a time, reused only when clean.
+
+A connection is used again only after one whole answer to the request that was sent on it, with
+nothing left over. `aiohttp`'s client takes bytes that arrive between two requests for the start of
+the next answer, so this side uses the parser of `httptools` as `peridottrack.ingress` does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from peridottrack.exceptions import BrokeOff, NotConnected
+from peridottrack.headerblock import Header, value_of
+from peridottrack.types import Clock, Endpoint
+
+CONNECT_TIMEOUT_S = 1.0
+"""The instance is on the same host: a longer wait means that its accept queue is full."""
+IDLE_LIMIT_S = 8.0
+"""How long a connection is kept if the instance does not say."""
+IDLE_MARGIN = 0.5
+"""Share of the idle time that the instance announces within which a connection is used."""
+UNSAFE_IDLE_S = 1.0
+"""A request that may run once goes on a connection only if this was in use so recently."""
+MAX_ANSWER_BYTES = 64 << 20
+"""Largest body that is held while it comes in; the document's limit of requests is the same."""
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclass(slots=True)
+class UpstreamAnswer:
+    """One whole answer of an instance.
+
+    Parameters
+    ----------
+    fresh
+        Whether the connection had carried no request before, so that nothing old can be on it.
+    """
+
+    status: int
+    headers: list[Header]
+    body: bytes
+    fresh: bool
+
+
+class InstanceConnection(asyncio.Protocol):
+    """One connection to an instance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[UpstreamAnswer] | None = None
+        self._expected_id = b""
+        self._head_only = False
+        self._id_header = b""
+        self.requests = 0
+        self.usable = True
+        self.idle_since = 0.0
+        self.idle_limit_s = IDLE_LIMIT_S
+        self._reset_parser()
+
+    def _reset_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._headers_done = False
+        self._whole = False
+        self._framed = False
+
+    # -- asyncio.Protocol --------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; bytes that belong to no request end the connection."""
+        if self._waiter is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"the answer is malformed: {error}")
+
+    def eof_received(self) -> bool:
+        """Take the end of the connection for the end of an answer without length."""
+        if self._waiter is not None and self._headers_done and not self._framed:
+            self.usable = False
+            self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what still waits."""
+        self.usable = False
+        self._transport = None
+        self._fail(f"the connection ended: {exc or 'closed by the instance'}")
+
+    # -- parser callbacks --------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Notice a second answer behind a whole one."""
+        if self._whole:
+            self.usable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        if not self._whole:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Learn how the body ends."""
+        if self._whole:
+            return
+        if 100 <= self._parser.get_status_code() < 200:
+            self._headers = []
+            return
+        self._headers_done = True
+        names = {key.lower() for key, _ in self._headers}
+        coding = (value_of(self._headers, b"transfer-encoding") or b"").lower()
+        bodiless = self._parser.get_status_code() in BODILESS_STATUSES
+        self._framed = b"content-length" in names or coding.endswith(b"chunked") or bodiless
+        if self._head_only:
+            self.usable = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a piece of the body."""
+        if self._whole:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            raise ValueError("the answer is larger than the limit")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the answer over if it is the one that is waited for."""
+        if self._headers_done and not self._whole:
+            self._complete()
+
+    # -- exchanges ---------------------------------------------------------------------
+
+    async def exchange(
+        self, data: bytes, request_id: bytes, id_header: bytes, head_only: bool
+    ) -> UpstreamAnswer:
+        """Send one request and wait for its answer.
+
+        Raises
+        ------
+        BrokeOff
+            If no whole answer came; the request may have run.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise NotConnected("the connection is closed")
+        self._expected_id, self._id_header, self._head_only = request_id, id_header, head_only
+        self._reset_parser()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.requests += 1
+        self._transport.write(data)
+        try:
+            return await self._waiter
+        except asyncio.CancelledError:
+            # The instance drops a request when its connection closes.
+            self.abort()
+            raise
+        finally:
+            self._waiter = None
+            self.idle_since = self._clock.now()
+
+    def _complete(self) -> None:
+        headers, body = self._headers, b"".join(self._body)
+        echoed = value_of(headers, self._id_header)
+        if echoed is not None and echoed != self._expected_id:
+            # A second answer to an earlier request: the right one may still come.
+            self.usable = False
+            self._headers, self._body, self._body_bytes = [], [], 0
+            self._headers_done = False
+            if not self._framed:
+                self._fail("an answer to another request ended the connection")
+            return
+        self._whole = True
+        connection = (value_of(headers, b"connection") or b"").lower()
+        if b"close" in connection or not self._framed or not self._parser.should_keep_alive():
+            self.usable = False
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self.usable = False
+        self._heed_keep_alive(value_of(headers, b"keep-alive"))
+        if self._waiter is not None and not self._waiter.done():
+            status = self._parser.get_status_code()
+            self._waiter.set_result(UpstreamAnswer(status, headers, body, self.requests == 1))
+
+    def _heed_keep_alive(self, value: bytes | None) -> None:
+        for part in (value or b"").split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.isdigit():
+                self.idle_limit_s = int(number) * IDLE_MARGIN
+
+    def _fail(self, reason: str) -> None:
+        self.usable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(BrokeOff(reason))
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.usable = False
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection and drop what is not sent yet."""
+        self.usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class ConnectionPool:
+    """The connections to one instance; the one used last goes first."""
+
+    def __init__(self, endpoint: Endpoint, clock: Clock) -> None:
+        self._endpoint = endpoint
+        self._clock = clock
+        self._idle: deque[InstanceConnection] = deque()
+        self.opened = 0
+
+    async def acquire(self, once: bool) -> InstanceConnection:
+        """Return a connection that nothing is sent on.
+
+        Parameters
+        ----------
+        once
+            Whether the request may run at most once, so that a connection that the instance may
+            be closing at this moment will not do.
+
+        Raises
+        ------
+        NotConnected
+            If the instance accepts none.
+        """
+        self._drop_stale()
+        if self._idle:
+            newest = self._idle[-1]
+            if not once or self._clock.now() - newest.idle_since < UNSAFE_IDLE_S:
+                return self._idle.pop()
+        return await self._connect()
+
+    async def fresh(self) -> InstanceConnection:
+        """Return a connection that was never used."""
+        return await self._connect()
+
+    def release(self, connection: InstanceConnection) -> None:
+        """Take a connection back after an exchange."""
+        if connection.usable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _drop_stale(self) -> None:
+        now = self._clock.now()
+        fresh: deque[InstanceConnection] = deque()
+        for connection in self._idle:
+            if connection.usable and now - connection.idle_since < connection.idle_limit_s:
+                fresh.append(connection)
+            else:
+                connection.close()
+        self._idle = fresh
+
+    async def _connect(self) -> InstanceConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, connection = await loop.create_connection(
+                    lambda: InstanceConnection(self._clock),
+                    self._endpoint.host,
+                    self._endpoint.port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotConnected(f"{self._endpoint}: {error!r}") from error
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.opened += 1
+        return connection
--- a/peridottrack/wire.py
+++ b/peridottrack/wire.py
@@ -193,6 +193,7 @@
     target.adminPort = update.admin.port
     target.domain = update.domain
     target.region = update.region
+    target.storeAway = update.store_away
     instances = target.init("instances", len(update.instances))
     for index, instance in enumerate(update.instances):
         _fill_instance(instances[index], instance)
@@ -210,6 +211,7 @@
         domain,
         Region(source.region),
         tuple(_read_instance(instance, domain) for instance in source.instances),
+        source.storeAway,
     )
 
 
