--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -106,7 +106,9 @@
             return
         self.table = table
         self.frame = DocumentFrame(table.version, zlib.compress(data))
-        log.event("document in force", version=table.version, origin=origin, routes=len(table.routes))
+        log.event(
+            "document in force", version=table.version, origin=origin, routes=len(table.routes)
+        )
         self._in_force(table, self.frame)
 
     async def run(self) -> None:
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -140,7 +140,10 @@
         work.sent = True
         try:
             answer = await connection.exchange(
-                self._request_bytes(frame, left_s), request_id, self._id_name, frame.method == "HEAD"
+                self._request_bytes(frame, left_s),
+                request_id,
+                self._id_name,
+                frame.method == "HEAD",
             )
         finally:
             self._pool.release(connection)
@@ -186,9 +189,7 @@
 
     def _refuse(self, work: _Work, kind: ErrorKind, ran: Ran, why: str) -> None:
         wait_s = self.gate.forecast_s(work.ticket) if kind is not ErrorKind.NO_INSTANCE else 0.0
-        log.debug(
-            "gate", "request refused", request=work.frame.number, kind=kind.value, why=why
-        )
+        log.debug("gate", "request refused", request=work.frame.number, kind=kind.value, why=why)
         work.reply(Refusal(work.frame.number, kind, ran, wait_s, self.gate.load()))
 
     def _note_refused_connection(self) -> None:
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -297,6 +297,7 @@
 
 
 def update_to_data(update: MemberUpdate) -> dict[str, Any]:
+    """Return a member's row."""
     return {
         "node": update.node,
         "incarnation": update.incarnation,
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -48,6 +48,10 @@
     ----------
     sent_to
         Instances that may have run it.
+    refused_by
+        Gates and instances that did not run it.
+    arrived
+        Whether it reached an instance, so that another send counts as a second one.
     """
 
     request: CallerRequest
@@ -61,8 +65,15 @@
     wait_s: float = 0.0
     last_kind: ErrorKind = ErrorKind.NO_INSTANCE
     unsure: bool = False
+    arrived: bool = False
     kept: WholeAnswer | None = None
 
+    def may_have_run(self, instance: InstanceId) -> None:
+        """Note that an instance got it and did not say that it left it."""
+        self.sent_to.append(instance)
+        self.arrived = True
+        self.unsure = True
+
 
 class Forwarder:
     """Answers callers' requests.
@@ -114,7 +125,9 @@
                 "content-length",
             )
         )
-        self._caller_line = pack([(dialect.caller_service.title().encode(), caller_service.encode())])
+        self._caller_line = pack(
+            [(dialect.caller_service.title().encode(), caller_service.encode())]
+        )
 
     async def handle(self, request: CallerRequest) -> WholeAnswer:
         """Answer one request; never raises."""
@@ -134,7 +147,9 @@
     async def _handle(self, request: CallerRequest) -> WholeAnswer:
         request_id = (value_of(request.headers, self._id_name) or b"").decode("latin-1")
         if not request_id:
-            return self._problem(ErrorKind.BAD_REQUEST, "", f"{self._dialect.request_id} is missing")
+            return self._problem(
+                ErrorKind.BAD_REQUEST, "", f"{self._dialect.request_id} is missing"
+            )
         table = self._table()
         if table is None:
             return self._problem(ErrorKind.NOT_READY, request_id)
@@ -163,13 +178,15 @@
 
     async def _travel(self, journey: _Journey) -> WholeAnswer:
         seconds = self._seconds(journey.service)
+        called = False
         for _ in range(MAX_SENDS):
             choice = self._choose(journey)
             if choice is None:
                 break
-            if journey.sent_to and not seconds.take():
+            if journey.arrived and not seconds.take():
                 break
-            if not journey.sent_to:
+            if not called:
+                called = True
                 seconds.called()
             answer = await self._send(journey, choice)
             if answer is not None:
@@ -207,15 +224,13 @@
             async with asyncio.timeout_at(journey.deadline + ANSWER_MARGIN_S):
                 outcome = await choice.route.ask(frame)
         except TimeoutError:
-            journey.sent_to.append(instance)
-            journey.unsure = True
+            journey.may_have_run(instance)
             journey.last_kind = ErrorKind.DEADLINE_PASSED
             self._placement.ended(instance, True)
             return None
         except LinkLost as error:
             if error.sent:
-                journey.sent_to.append(instance)
-                journey.unsure = True
+                journey.may_have_run(instance)
                 journey.last_kind = ErrorKind.UPSTREAM_FAILED
             else:
                 journey.refused_by.add(instance)
@@ -250,18 +265,17 @@
         if refusal.ran is Ran.NO:
             journey.refused_by.add(instance)
             if refusal.kind is ErrorKind.UPSTREAM_SHED:
+                journey.arrived = True
                 self._placement.ended(instance, True)
             return
-        journey.sent_to.append(instance)
-        journey.unsure = True
+        journey.may_have_run(instance)
         self._placement.ended(instance, True)
 
     def _take_answer(
         self, journey: _Journey, instance: InstanceId, answer: InstanceAnswer, started_at: float
     ) -> WholeAnswer | None:
         failed = answer.status >= FAILING_STATUS
-        journey.sent_to.append(instance)
-        journey.unsure = True
+        journey.may_have_run(instance)
         self._placement.ended(instance, failed)
         whole = WholeAnswer(answer.status, unpack(answer.head), answer.body)
         if failed:
--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -183,8 +183,12 @@
             self._arm_header()
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "protocol upgrades are not supported")
+        except httptools.HttpParserUpgrade as upgrade:
+            # An offer to change the protocol may be ignored (RFC 9110, section 7.8).
+            self._parser = httptools.HttpRequestParser(self)
+            rest = data[upgrade.args[0] :]
+            if rest:
+                self.data_received(rest)
         except httptools.HttpParserError as error:
             self._refuse(self._fault_status, self._fault or f"malformed request: {error}")
 
--- a/peridottrack/jsonc.py
+++ b/peridottrack/jsonc.py
@@ -28,6 +28,8 @@
         # The parser puts the position first, after its own name for the input.
         place = str(error).replace("<string>", origin, 1)
         raise Faulty([place]) from None
+    except RecursionError:
+        raise Faulty([f"{origin}: objects and lists are nested too deeply"]) from None
 
 
 def check(model: type[Model], data: Any, origin: str) -> Model:
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -73,8 +73,16 @@
     """A way to a gate, over a link or within the process."""
 
     domain: FailureDomain
-    load: GateLoad | None
-    heard_at: float
+
+    @property
+    def load(self) -> GateLoad | None:
+        """What the gate said last."""
+        ...
+
+    @property
+    def heard_at(self) -> float:
+        """When it said anything, by this node's clock."""
+        ...
 
     @property
     def usable(self) -> bool:
@@ -447,7 +455,10 @@
         self._connection = None
         self.load = None
         log.event(
-            "link lost", peer=str(self._endpoint), reason=reason, waiting=len(self._waiter_by_number)
+            "link lost",
+            peer=str(self._endpoint),
+            reason=reason,
+            waiting=len(self._waiter_by_number),
         )
         for waiter in self._waiter_by_number.values():
             if not waiter.done():
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -43,6 +43,8 @@
 """Time for connections that were opened before the last of these answers."""
 CLOSE_MARGIN_S = 0.4
 """Time before the end of a shutdown that is left for closing connections."""
+RUNNER_CLOSE_S = 0.05
+"""How long a closing listener waits for calls of the platform that are not answered yet."""
 LOOK_S = 0.02
 """How often a shutdown looks whether all work is done."""
 
@@ -80,7 +82,9 @@
 class MeshNode:
     """One node, built from its settings."""
 
-    def __init__(self, settings: MeshSettings, adapter: Adapter, clock: Clock | None = None) -> None:
+    def __init__(
+        self, settings: MeshSettings, adapter: Adapter, clock: Clock | None = None
+    ) -> None:
         self.settings = settings
         self._adapter = adapter
         self._clock = clock or LoopClock()
@@ -99,9 +103,7 @@
         await self.datagrams.start(gossip.host, gossip.port)
         link = parse_endpoint(self.settings.link_address)
         await self.link_server.start(link.host, link.port)
-        await self._listen(
-            self._adapter.announce_app(self.beside), self.settings.announce_address
-        )
+        await self._listen(self._adapter.announce_app(self.beside), self.settings.announce_address)
         await self._listen(self._adapter.ready_app(self._is_ready), self.settings.ready_address)
         callers = parse_endpoint(self.settings.callers_address)
         await self.ingress.start(callers.host, callers.port)
@@ -124,9 +126,7 @@
         idle = not self.ingress.in_flight and not self._forwarded
         self.members.membership.leave(self._clock.now())
         await self.close()
-        log.event(
-            "node left", idle=idle, took_s=round(self._clock.now() - started_at, 3)
-        )
+        log.event("node left", idle=idle, took_s=round(self._clock.now() - started_at, 3))
         return idle
 
     @property
@@ -271,7 +271,7 @@
 
     async def _listen(self, app: web.Application, address: str) -> None:
         endpoint = parse_endpoint(address)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=RUNNER_CLOSE_S)
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, endpoint.host, endpoint.port).start()
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -146,7 +146,11 @@
         self.members = MembersController(
             me,
             TableDirectory(self.table),
-            self.datagrams, clock, rng, metrics, self.document.hear_version
+            self.datagrams,
+            clock,
+            rng,
+            metrics,
+            self.document.hear_version,
         )
         peers.members = self.members
         self.load = LoadController(
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -17,7 +17,7 @@
 SLOWDOWN_HOLD_S = 0.25
 """Age at which a slowdown that was told is no longer believed: spells are shorter than this."""
 DISTANCE_SHARE = 0.5
-"""Share of a request's run time that another failure domain has to save: bytes between them cost."""
+"""Share of a run time that another failure domain has to save: bytes between them cost."""
 CROWDING_SHARE = 0.5
 """Share of the run time that a full instance costs even without a queue: it may slow down."""
 COLD_FACTOR = 2.0
--- a/peridottrack/standin/deployments.py
+++ b/peridottrack/standin/deployments.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
+import os
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from peridottrack.config import Settings
@@ -13,6 +16,12 @@
 
 MESSAGE_KEY = "stand-in key, not secret"
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+PORTS_PER_PROCESS = 997
+"""How far apart two processes begin to look for ports; prime, so that they spread."""
+PORT_RANGE_FILE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+USUAL_KERNEL_PORT = 32_768
+"""First port that Linux gives to connections unless it is told otherwise."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,24 +123,44 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing on this host listens on, neither by TCP nor by UDP."""
-    held = []
+    """Return ports that nothing on this host listens on, neither by TCP nor by UDP.
+
+    They lie below the range from which the kernel takes ports for connections, so that none can
+    be taken between this call and the listener's.
+    """
     ports: list[int] = []
     while len(ports) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind((HOST, 0))
-        held.append(stream)
-        port = stream.getsockname()[1]
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held.append(datagram)
+        port = next(_port_candidates)
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            ports.append(port)
+    return ports
+
+
+def _candidates() -> Iterator[int]:
+    """Go round the ports below the kernel's, from a place that differs between processes."""
+    count = _first_kernel_port() - FIRST_PORT
+    for step in itertools.count(os.getpid() * PORTS_PER_PROCESS):
+        yield FIRST_PORT + step % count
+
+
+def _first_kernel_port() -> int:
+    """Return the first port that the kernel gives to connections."""
+    try:
+        return int(PORT_RANGE_FILE.read_text().split()[0])
+    except (OSError, ValueError):
+        return USUAL_KERNEL_PORT
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as trial:
         try:
-            datagram.bind((HOST, port))
+            trial.bind((HOST, port))
         except OSError:
-            continue
-        ports.append(port)
-    for item in held:
-        item.close()
-    return ports
+            return False
+    return True
+
+
+_port_candidates = _candidates()
 
 
 def node_settings(
--- /dev/null
+++ b/tests/mesh_world.py
@@ -0,0 +1,152 @@
+"""Nodes with gates on loopback, each on an address of its own, with stand-ins around them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+from dataclasses import dataclass, field
+
+import aiohttp
+from users_platform import InstanceStandin, Store, document_bytes
+
+from peridottrack.config import MeshSettings
+from peridottrack.mesh import MeshNode
+from peridottrack.platform import ADAPTER
+
+# Below the range from which the kernel takes ports of connections.
+CALLERS, LINK, READY, ANNOUNCE, GOSSIP = range(20_001, 20_006)
+_numbers = itertools.count(1)
+
+
+def fresh_ip() -> str:
+    """Return a loopback address that no other test or process of this suite uses."""
+    pid, number = os.getpid(), next(_numbers)
+    return f"127.{1 + (pid >> 8) % 200}.{pid % 256}.{number}"
+
+
+def mesh_settings(ip: str, upstream: str, **changes: object) -> MeshSettings:
+    """Return settings of a node on an address."""
+    values: dict[str, object] = {
+        "callers_address": f"{ip}:{CALLERS}",
+        "link_address": f"{ip}:{LINK}",
+        "ready_address": f"{ip}:{READY}",
+        "announce_address": f"{ip}:{ANNOUNCE}",
+        "gossip_address": f"{ip}:{GOSSIP}",
+        "upstream_address": upstream,
+        "service": "katalog",
+        "failure_domain": "a",
+        "region": "east",
+        "store_timeout_s": 0.3,
+        "message_keys": ["sixteen characters and more"],
+        **changes,
+    }
+    return MeshSettings.model_validate(values)
+
+
+@dataclass
+class Host:
+    """A node and the instance beside it."""
+
+    ip: str
+    node: MeshNode
+    instance: InstanceStandin
+    sequence: int = 0
+
+    async def announce(self, session: aiohttp.ClientSession, state: str = "ready", **more) -> int:
+        """Let the instance announce itself; return the status."""
+        self.sequence += 1
+        body = {
+            "address": f"{self.ip}:{self.instance.port}",
+            "born": more.pop("born", 1_000),
+            "node_info": {
+                "service": "katalog",
+                "version": "v1",
+                "zone": "a",
+                "max_concurrent": more.pop("slots", 18),
+            },
+            "status": {
+                "state": state,
+                "sequence": more.pop("sequence", self.sequence),
+                "warmup_left_s": 0,
+            },
+            **more,
+        }
+        url = f"http://{self.ip}:{ANNOUNCE}/v1/instances/{self.instance.name}/heartbeat"
+        async with session.post(url, data=json.dumps(body)) as answer:
+            return answer.status
+
+    async def deregister(self, session: aiohttp.ClientSession) -> int:
+        """Let the instance say goodbye."""
+        url = f"http://{self.ip}:{ANNOUNCE}/v1/instances/{self.instance.name}/deregister"
+        async with session.post(url) as answer:
+            return answer.status
+
+    async def ready(self, session: aiohttp.ClientSession) -> int:
+        """Ask whether the node is ready."""
+        async with session.get(f"http://{self.ip}:{READY}/v1/readyz") as answer:
+            return answer.status
+
+
+@dataclass
+class World:
+    """Store, hosts and a caller."""
+
+    store: Store = field(default_factory=Store)
+    hosts: list[Host] = field(default_factory=list)
+
+    async def start(self, hosts: int) -> None:
+        await self.store.start()
+        self.store.put("op", "config", document_bytes())
+        self.session = aiohttp.ClientSession()
+        for number in range(hosts):
+            await self.add(f"i-{number}")
+        await self.settle()
+
+    async def add(self, name: str, **settings: object) -> Host:
+        instance = InstanceStandin(name)
+        await instance.start()
+        ip = fresh_ip()
+        settings = {"store_url": self.store.url, **settings}
+        made = mesh_settings(ip, f"127.0.0.1:{instance.port}", **settings)
+        host = Host(ip, MeshNode(made, ADAPTER), instance)
+        self.hosts.append(host)
+        await host.node.start()
+        await host.announce(self.session)
+        return host
+
+    async def settle(self) -> None:
+        """Wait until every node knows the document and every gate."""
+        async with asyncio.timeout(15):
+            while not all(self._settled(host) for host in self.hosts):
+                await asyncio.sleep(0.02)
+
+    def _settled(self, host: Host) -> bool:
+        gates = host.node.links.routes_of("katalog")
+        known = sum(route.load is not None and route.usable for route in gates)
+        return host.node.follow.table is not None and known == len(self.hosts)
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for host in self.hosts:
+            await host.node.close()
+            await host.instance.stop()
+        await self.store.stop()
+
+    async def call(
+        self, host: Host, path: str = "/stock/1", method: str = "GET", **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request on a new connection; return status, body and headers."""
+        number = next(_numbers)
+        given = {
+            "Host": "shop.example",
+            "Request-Id": f"r{number}",
+            "Request-Deadline": "1500",
+            **{key.replace("_", "-"): value for key, value in headers.items()},
+        }
+        async with (
+            aiohttp.ClientSession(auto_decompress=False) as session,
+            session.request(method, f"http://{host.ip}:{CALLERS}{path}", headers=given) as answer,
+        ):
+            return answer.status, await answer.read(), dict(answer.headers)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,36 @@
+"""Settings: faults are lines, never stack traces."""
+
+from __future__ import annotations
+
+import pytest
+from click.testing import CliRunner
+
+from peridottrack.cmdline import cli
+from peridottrack.config import read_mesh_settings, read_settings
+from peridottrack.document import parse_document
+from peridottrack.exceptions import DocumentFaulty, Faulty, SettingsFaulty
+
+DEPTH = 5_000
+
+
+@pytest.mark.parametrize("opening", ["[", '{"a":'])
+@pytest.mark.parametrize(
+    ("reader", "fault"),
+    [
+        (read_settings, SettingsFaulty),
+        (read_mesh_settings, SettingsFaulty),
+        (parse_document, DocumentFaulty),
+    ],
+)
+def test_deep_nesting_is_one_clear_line(reader, fault, opening):
+    with pytest.raises(fault) as caught:
+        reader(opening * DEPTH, "deep.json")
+    assert caught.value.faults == ("deep.json: objects and lists are nested too deeply",)
+
+
+def test_commands_say_so_without_a_trace(tmp_path):
+    path = tmp_path / "deep.json"
+    path.write_text('{"callers_address": ' + "[" * DEPTH)
+    for arguments in (["check", str(path)], ["node", "--settings", str(path)]):
+        found = CliRunner().invoke(cli, arguments)
+        assert isinstance(found.exception, Faulty)
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,77 @@
+"""Frames between nodes: a round trip of each, cut streams, and bytes that are no frames."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from peridottrack.errors import ErrorKind, Ran
+from peridottrack.exceptions import FrameRejected
+from peridottrack.frames import (
+    LENGTH,
+    MAX_FRAME_BYTES,
+    Cancel,
+    DocumentFrame,
+    ForwardedRequest,
+    FrameReader,
+    GateLoad,
+    Hello,
+    InstanceAnswer,
+    LinkPing,
+    LinkPong,
+    Refusal,
+    WantDocument,
+    encode,
+)
+from peridottrack.headerblock import forwarded, pack, unpack
+
+LOAD = GateLoad("i-1", "katalog", True, 18, 14, 3, 2, 5.0, 0.25, True)
+FRAMES = [
+    Hello("10.0.0.1:7600", "a", 7),
+    ForwardedRequest(
+        1, 1.5, 12.25, 0.25, "r-1", 2, True, False, "GET", b"/a?b", b"Host: x\r\n", b"\x00", "i-1"
+    ),
+    Cancel(2),
+    InstanceAnswer(3, 200, b"A: b\r\n", b"body", LOAD),
+    Refusal(4, ErrorKind.TOO_LATE, Ran.NO, 0.25, LOAD),
+    LOAD,
+    LinkPing(5),
+    LinkPong(6),
+    WantDocument(7),
+    DocumentFrame(8, b"data"),
+]
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 60), max_size=60))
+def test_frames_survive_any_cutting_of_the_stream(cuts):
+    stream = b"".join(encode(frame) for frame in FRAMES)
+    reader, found = FrameReader(), []
+    for size in cuts:
+        found += reader.feed(stream[:size])
+        stream = stream[size:]
+    found += reader.feed(stream)
+    assert found == FRAMES
+
+
+@pytest.mark.parametrize(
+    "data", [LENGTH.pack(MAX_FRAME_BYTES + 1), LENGTH.pack(3) + b"\xff\xff\xff"]
+)
+def test_bytes_that_are_no_frame_are_rejected(data):
+    with pytest.raises(FrameRejected):
+        FrameReader().feed(data)
+
+
+def test_headers_of_one_connection_are_not_forwarded():
+    given_headers = [
+        (b"Host", b"a"),
+        (b"Connection", b"keep-alive, X-Hop"),
+        (b"Keep-Alive", b"timeout=5"),
+        (b"X-Hop", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"X-End", b"2"),
+    ]
+    kept = forwarded(given_headers, frozenset((b"x-none",)))
+    assert kept == [(b"Host", b"a"), (b"X-End", b"2")]
+    assert unpack(pack(kept)) == kept
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,205 @@
+"""The gate's decisions, in time set by hand."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from peridottrack.clock import ManualClock
+from peridottrack.dialect import LoadFigures, read_load
+from peridottrack.gate import KNEE_SAMPLES, Gate, Ticket, Verdict
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def gate(clock):
+    made = Gate(clock)
+    made.open("i-1", "katalog", 2, 0.0)
+    return made
+
+
+def ticket(log, *, route="read", rank=1, deadline=110.0):
+    return Ticket(route, rank, deadline, log.append)
+
+
+def test_runs_up_to_the_slots_then_waits(gate):
+    log = []
+    for _ in range(3):
+        gate.ask(ticket(log), "i-1")
+    assert log == [Verdict.RUN, Verdict.RUN]
+    assert (gate.running, gate.waiting) == (2, 1)
+
+
+def test_urgent_goes_first_then_the_nearest_deadline(gate):
+    running = []
+    first = ticket(running)
+    gate.ask(first, "i-1")
+    gate.ask(ticket(running), "i-1")
+    order = []
+    for name, rank, deadline in (("late", 2, 105.0), ("soon", 2, 104.0), ("urgent", 1, 109.0)):
+        waiting = Ticket("read", rank, deadline, lambda verdict, name=name: order.append(name))
+        gate.ask(waiting, "i-1")
+    for _ in range(3):
+        gate.finished(first, True)
+    assert order == ["urgent", "soon", "late"]
+
+
+def test_what_cannot_be_done_in_time_is_refused_at_once(gate, clock):
+    log = []
+    runs = [ticket(log), ticket(log)]
+    for one in runs:
+        gate.ask(one, "i-1")
+    clock.advance(4.0)
+    for one in runs:
+        gate.finished(one, True)
+    log.clear()
+    for _ in range(2):
+        gate.ask(ticket(log, deadline=200.0), "i-1")
+    gate.ask(ticket(log, deadline=104.5), "i-1")
+    assert log == [Verdict.RUN, Verdict.RUN, Verdict.TOO_LATE]
+
+
+def test_waiting_is_bounded(gate):
+    log = []
+    for _ in range(40):
+        gate.ask(ticket(log, deadline=1_000.0), "i-1")
+    assert log.count(Verdict.FULL) == 40 - 2 - 6
+
+
+def test_leaving_instance_refuses_the_waiting_and_the_new(gate):
+    log = []
+    for _ in range(3):
+        gate.ask(ticket(log), "i-1")
+    gate.close()
+    gate.ask(ticket(log), "i-1")
+    assert log == [Verdict.RUN, Verdict.RUN, Verdict.CLOSED, Verdict.CLOSED]
+    assert not gate.load().open
+
+
+def test_another_instance_gets_no_request_meant_for_the_first(gate):
+    log = []
+    for _ in range(3):
+        gate.ask(ticket(log), "i-1")
+    gate.open("i-2", "katalog", 2, 0.0)
+    gate.ask(ticket(log), "i-1")
+    assert log[2:] == [Verdict.WRONG_INSTANCE, Verdict.WRONG_INSTANCE]
+
+
+def test_slowdown_is_believed_while_it_is_fresh(gate, clock):
+    gate.hear_load(LoadFigures(1, 0, 2, 5.0))
+    assert gate.slowdown() == 5.0
+    clock.advance(0.3)
+    assert gate.slowdown() == 1.0
+
+
+def test_instance_that_slows_down_when_nearly_full_gets_fewer(clock):
+    gate = Gate(clock)
+    gate.open("i-1", "katalog", 10, 0.0)
+    log = []
+    for _ in range(KNEE_SAMPLES + 5):
+        batch = [ticket(log, deadline=1_000.0) for _ in range(10)]
+        for one in batch:
+            gate.ask(one, "i-1")
+        clock.advance(0.1)
+        for one in batch[:8]:
+            gate.finished(one, True)
+        clock.advance(0.1)
+        for one in batch[8:]:
+            gate.finished(one, True)
+    assert gate.limit == 8
+
+
+@pytest.mark.parametrize(
+    ("text", "figures"),
+    [
+        ("3,0,8", LoadFigures(3, 0, 8, 1.0)),
+        ("3,1,8,500", LoadFigures(3, 1, 8, 5.0)),
+        ("3,1", None),
+        ("a,b,c", None),
+        ("-1,0,8", None),
+        ("", None),
+    ],
+)
+def test_load_figures_of_all_kinds(text, figures):
+    assert read_load(text) == figures
+
+
+class GateMachine(RuleBasedStateMachine):
+    """Random requests, ends, leavings and restarts: the count is exact, nobody is told twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock(0.0)
+        self.gate = Gate(self.clock)
+        self.incarnation = 0
+        self.asked = []
+        self.verdicts = {}
+        self.running = []
+        self.open_again()
+
+    def open_again(self):
+        self.incarnation += 1
+        self.gate.open(f"i-{self.incarnation}", "katalog", 3, 0.0)
+
+    @rule(rank=st.integers(0, 3), left_s=st.floats(0.001, 3), stale=st.booleans())
+    def ask(self, rank, left_s, stale):
+        number = len(self.asked)
+
+        def decided(verdict):
+            assert number not in self.verdicts
+            self.verdicts[number] = verdict
+            if verdict is Verdict.RUN:
+                assert self.gate.is_open
+                self.running.append(made)
+
+        made = Ticket("read", rank, self.clock.now() + left_s, decided)
+        self.asked.append(made)
+        self.gate.ask(made, f"i-{self.incarnation - stale}")
+        if stale:
+            assert self.verdicts[number] is not Verdict.RUN
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), ran=st.booleans())
+    def finish(self, data, ran):
+        index = data.draw(st.integers(0, len(self.running) - 1))
+        self.gate.finished(self.running.pop(index), ran)
+
+    @precondition(lambda self: any(one.waiting for one in self.asked))
+    @rule()
+    def give_up(self):
+        waiting = next(one for one in self.asked if one.waiting)
+        assert self.gate.give_up(waiting)
+        assert not self.gate.give_up(waiting)
+
+    @rule()
+    def leave(self):
+        self.gate.close()
+
+    @rule()
+    def restart(self):
+        self.open_again()
+
+    @rule(seconds=st.floats(0.0, 1.0))
+    def wait(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def counts_are_exact(self):
+        assert self.gate.running == len(self.running)
+        assert self.gate.waiting == sum(one.waiting for one in self.asked)
+
+    @invariant()
+    def slots_are_kept_by_each_life(self):
+        assert self.gate.running <= 3 * self.incarnation
+
+
+GateMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+test_gate_machine = GateMachine.TestCase
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,207 @@
+"""The callers' side on raw sockets: pipelining, bounds, bad input, closing."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from peridottrack.clock import LoopClock
+from peridottrack.ingress import MAX_PIPELINED, Ingress, WholeAnswer
+from peridottrack.routing import CallerLimits
+
+
+class Side:
+    """An ingress whose answers the test gives."""
+
+    def __init__(self):
+        self.requests = []
+        self.answers = {}
+        self.cancelled = []
+        self.ingress = Ingress(self.handle, self.refusal, LoopClock())
+
+    async def handle(self, request):
+        self.requests.append(request)
+        answer = self.answers.setdefault(request.target, asyncio.Future())
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+
+    def refusal(self, status, reason):
+        return WholeAnswer(status, [], reason.encode())
+
+    def answer(self, target, body=b"ok", **more):
+        future = self.answers.setdefault(target, asyncio.Future())
+        future.set_result(WholeAnswer(200, [], body, **more))
+
+    async def until(self, condition):
+        async with asyncio.timeout(5):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+async def side():
+    made = Side()
+    made.port = await made.ingress.start("127.0.0.1", 0)
+    yield made
+    await made.ingress.stop()
+
+
+@pytest.fixture
+async def caller(side):
+    reader, writer = await asyncio.open_connection("127.0.0.1", side.port)
+    yield reader, writer
+    writer.close()
+
+
+def get(target, more=""):
+    return f"GET {target} HTTP/1.1\r\nHost: a\r\n{more}\r\n".encode()
+
+
+async def read_answer(reader):
+    async with asyncio.timeout(5):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        return int(head.split()[1]), head, await reader.readexactly(length)
+
+
+async def test_pipelined_requests_are_worked_on_at_once_and_answered_in_order(side, caller):
+    reader, writer = caller
+    writer.write(get("/1") + get("/2") + get("/3"))
+    await side.until(lambda: len(side.requests) == 3)
+    side.answer(b"/3", b"three")
+    side.answer(b"/2", b"two")
+    await asyncio.sleep(0.02)
+    side.answer(b"/1", b"one")
+    assert [(await read_answer(reader))[2] for _ in range(3)] == [b"one", b"two", b"three"]
+
+
+async def test_pipelining_is_bounded(side, caller):
+    reader, writer = caller
+    for number in range(MAX_PIPELINED + 20):
+        writer.write(get(f"/{number}"))
+        await asyncio.sleep(0)
+    await side.until(lambda: len(side.requests) >= MAX_PIPELINED)
+    await asyncio.sleep(0.05)
+    taken = len(side.requests)
+    assert taken <= MAX_PIPELINED + 20
+    for number in range(MAX_PIPELINED + 20):
+        side.answer(f"/{number}".encode())
+    for _ in range(MAX_PIPELINED + 20):
+        assert (await read_answer(reader))[0] == 200
+
+
+async def test_caller_that_leaves_cancels_its_requests(side, caller):
+    _, writer = caller
+    writer.write(get("/1") + get("/2"))
+    await side.until(lambda: len(side.requests) == 2)
+    writer.close()
+    await side.until(lambda: sorted(side.cancelled) == [b"/1", b"/2"])
+    assert side.ingress.in_flight == 0
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"65\r\n" + b"x" * 101 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nBig: " + b"x" * 600 + b"\r\n\r\n", 431),
+    ],
+)
+async def test_input_that_is_no_request_is_refused_and_runs_nothing(side, caller, sent, status):
+    side.ingress.limits = CallerLimits(500, 100, 3.0, 15.0)
+    reader, writer = caller
+    writer.write(sent)
+    assert (await read_answer(reader))[0] == status
+    assert await reader.read() == b""
+    assert side.ingress.in_flight == 0
+
+
+async def test_smuggled_request_behind_bad_framing_is_not_read(side, caller):
+    reader, writer = caller
+    writer.write(
+        b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\n\r\n" + get("/smuggled")
+    )
+    assert (await read_answer(reader))[0] == 400
+    assert side.requests == []
+
+
+async def test_slow_headers_end_with_408(side, caller):
+    side.ingress.limits = CallerLimits(500, 100, 0.05, 15.0)
+    reader, writer = caller
+    writer.write(b"GET / HTTP/1.1\r\nHost:")
+    assert (await read_answer(reader))[0] == 408
+
+
+async def test_idle_connection_is_kept_beyond_the_limit_callers_heed(side, caller):
+    side.ingress.limits = CallerLimits(500, 100, 3.0, 0.05)
+    reader, writer = caller
+    writer.write(get("/1"))
+    side.answer(b"/1")
+    await read_answer(reader)
+    await asyncio.sleep(0.2)
+    writer.write(get("/2"))
+    side.answer(b"/2")
+    assert (await read_answer(reader))[0] == 200
+
+
+async def test_closing_answers_all_that_was_read_before_it_closes(side, caller):
+    reader, writer = caller
+    writer.write(get("/1") + get("/2"))
+    await side.until(lambda: len(side.requests) == 2)
+    side.ingress.begin_close()
+    side.answer(b"/1")
+    status, head, _ = await read_answer(reader)
+    assert (status, b"connection: close" in head.lower()) == (200, False)
+    side.answer(b"/2")
+    status, head, _ = await read_answer(reader)
+    assert (status, b"connection: close" in head.lower()) == (200, True)
+    assert await reader.read() == b""
+
+
+async def test_request_behind_one_that_asked_to_close_is_not_run(side, caller):
+    reader, writer = caller
+    writer.write(get("/1", "Connection: close\r\n") + get("/2"))
+    side.answer(b"/1")
+    assert (await read_answer(reader))[0] == 200
+    assert await reader.read() == b""
+    assert [request.target for request in side.requests] == [b"/1"]
+
+
+async def test_expected_continue_is_sent(side, caller):
+    reader, writer = caller
+    writer.write(
+        b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+    )
+    async with asyncio.timeout(5):
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+    writer.write(b"ab")
+    side.answer(b"/1")
+    assert (await read_answer(reader))[0] == 200
+    assert side.requests[0].body == b"ab"
+
+
+async def test_offered_protocol_is_ignored_and_the_connection_goes_on(side, caller):
+    reader, writer = caller
+    writer.write(get("/1", "Upgrade: h2c\r\nConnection: upgrade\r\n") + get("/2"))
+    side.answer(b"/1", b"one")
+    side.answer(b"/2", b"two")
+    assert [(await read_answer(reader))[2] for _ in range(2)] == [b"one", b"two"]
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,278 @@
+"""The whole path on the users' platform: callers, nodes with gates, instances, store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from mesh_world import ANNOUNCE, CALLERS, World
+from users_platform import document_bytes
+from yarl import URL
+
+
+@pytest.fixture
+async def world():
+    made = World()
+    await made.start(2)
+    yield made
+    await made.stop()
+
+
+def only_beside(world: World, number: int) -> None:
+    """Leave one instance open to requests."""
+    for index, host in enumerate(world.hosts):
+        if index != number:
+            host.node.gate.gate.close()
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def runs(world: World) -> int:
+    return sum(len(host.instance.runs) for host in world.hosts)
+
+
+async def test_request_goes_through_the_other_hosts_gate(world):
+    only_beside(world, 1)
+    caller, owner = world.hosts
+    await until(lambda: not any(r.load.instance == "i-0" for r in routes(caller) if r.load.open))
+    status, body, headers = await world.call(caller, caller_service="forged")
+    assert (status, headers["Response-Signature"]) == (200, "i-1")
+    assert body == b"answer to " + headers["Request-Id"].encode()
+    run = owner.instance.runs[0]
+    assert run.headers[b"caller-service"] == b"katalog"
+    assert run.headers[b"target-instance"] == b"i-1"
+    assert 0 < int(run.headers[b"request-deadline"]) <= 1500
+
+
+def routes(host):
+    return host.node.links.routes_of("katalog")
+
+
+async def test_body_and_path_arrive_unchanged(world):
+    async def chunks():
+        yield b"12 m "
+        yield b"of rope"
+
+    url = URL(f"http://{world.hosts[0].ip}:{CALLERS}/order/a%20b?x=%2F&y", encoded=True)
+    async with world.session.post(
+        url,
+        headers={"Host": "shop.example", "Request-Id": "r-body", "Request-Deadline": "1500"},
+        data=chunks(),
+    ) as answer:
+        assert answer.status == 200
+    found = [run for host in world.hosts for run in host.instance.runs]
+    assert [(run.method, run.target, run.body) for run in found] == [
+        ("POST", b"/order/a%20b?x=%2F&y", b"12 m of rope")
+    ]
+
+
+async def test_unknown_route_is_404_and_no_document_503(world):
+    status, _, _ = await world.call(world.hosts[0], "/nowhere/x")
+    assert status == 404
+    world.hosts[0].node.follow.table = None
+    status, _, headers = await world.call(world.hosts[0])
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize("trouble", ["lose", "cut", "garbage", "unsigned", "no_id"])
+async def test_broken_answers_are_repeated_only_where_that_is_allowed(world, trouble):
+    await world.call(world.hosts[0])
+    for host in world.hosts:
+        setattr(host.instance.script, trouble, 1)
+    before = runs(world)
+    status, _, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, "Response-Signature" in headers) == (502, False)
+    assert runs(world) == before + 1
+    status, _, headers = await world.call(world.hosts[0])
+    assert (status, "Response-Signature" in headers) == (200, True)
+    assert runs(world) == before + 3
+
+
+async def test_not_run_is_passed_on_elsewhere_even_if_it_may_run_once(world):
+    world.hosts[0].instance.script.shed = 1
+    world.hosts[1].instance.script.shed = 1
+    status, _, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, runs(world)) == (503, 0)
+    assert "Retry-After" in headers
+    world.hosts[0].instance.script.shed = 1
+    status, _, _ = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, runs(world)) == (200, 1)
+
+
+@pytest.mark.parametrize("trouble", ["double", "late_double"])
+async def test_second_answers_reach_nobody(world, trouble):
+    only_beside(world, 0)
+    setattr(world.hosts[0].instance.script, trouble, 5)
+    for _ in range(10):
+        status, body, headers = await world.call(world.hosts[0])
+        assert (status, body) == (200, b"answer to " + headers["Request-Id"].encode())
+
+
+async def test_answer_without_length_counts_only_if_it_ends_in_order(world):
+    only_beside(world, 0)
+    world.hosts[0].instance.script.unframed = 1
+    status, body, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, body) == (200, b"answer to " + headers["Request-Id"].encode())
+    world.hosts[0].instance.script.unframed_reset = 1
+    status, _, _ = await world.call(world.hosts[0], "/order/1", "POST")
+    assert status == 502
+
+
+async def test_failure_of_an_instance_keeps_its_status_and_signature(world):
+    for host in world.hosts:
+        host.instance.script.fail = 1
+    status, body, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, body, "Response-Signature" in headers) == (500, b"failed", True)
+    assert runs(world) == 1
+
+
+async def test_wrong_instance_at_the_address_closes_the_gate(world):
+    only_beside(world, 0)
+    world.hosts[0].instance.script.misdirect = 1
+    status, _, _ = await world.call(world.hosts[0], "/order/1", "POST")
+    assert status == 503
+    assert not world.hosts[0].node.gate.gate.is_open
+    await world.hosts[0].announce(world.session)
+    assert world.hosts[0].node.gate.gate.is_open
+
+
+async def test_leaving_instance_gets_nothing_once_its_word_is_answered(world):
+    leaving = world.hosts[1]
+    assert await leaving.announce(world.session, "draining") == 200
+    before = len(leaving.instance.runs)
+    for _ in range(10):
+        status, _, _ = await world.call(world.hosts[0])
+        assert status == 200
+    assert len(leaving.instance.runs) == before
+    assert await leaving.announce(world.session, "ready") == 200
+    assert not leaving.node.gate.gate.is_open
+    assert await leaving.announce(world.session, "ready", born=2_000) == 200
+    assert leaving.node.gate.gate.is_open
+
+
+async def test_goodbye_closes_the_gate_and_old_words_do_not_open_it(world):
+    host = world.hosts[0]
+    assert await host.deregister(world.session) == 200
+    assert not host.node.gate.gate.is_open
+    assert await host.announce(world.session, "ready", sequence=1) == 200
+    assert not host.node.gate.gate.is_open
+
+
+async def test_strange_announcements_are_refused(world):
+    host = world.hosts[0]
+    url = f"http://{host.ip}:{ANNOUNCE}/v1/instances/i-9/heartbeat"
+    strange = [
+        b"",
+        b"[]",
+        b"\xff\xfe",
+        b'{"address": 5}',
+        b'{"address":"a","node_info":{},"status":{}}',
+        b'{"address":"a","node_info":{"service":"other","zone":"a","version":"v","max_concurrent":3},'
+        b'"status":{"state":"ready","sequence":9}}',
+        b'{"address":"a","node_info":{"service":"katalog","zone":"a","version":"v",'
+        b'"max_concurrent":true},"status":{"state":"ready","sequence":9}}',
+        b'{"address":"a","node_info":{"service":"katalog","zone":"a","version":"v",'
+        b'"max_concurrent":3},"status":{"state":"odd","sequence":9}}',
+    ]
+    for body in strange:
+        async with world.session.post(url, data=body) as answer:
+            assert answer.status == 400, body
+    assert host.node.gate.gate.beside.instance == "i-0"
+
+
+async def test_caller_that_leaves_is_left_at_the_instance(world):
+    only_beside(world, 1)
+    world.hosts[1].instance.script.work_s = 30
+    reader, writer = await asyncio.open_connection(world.hosts[0].ip, CALLERS)
+    writer.write(
+        b"GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-gone\r\n"
+        b"Request-Deadline: 1900\r\n\r\n"
+    )
+    await until(lambda: world.hosts[1].instance.runs)
+    writer.close()
+    await until(lambda: world.hosts[1].instance.dropped)
+    assert world.hosts[1].node.gate.gate.running == 0
+
+
+async def test_timeout_of_the_route_ends_a_request_that_its_caller_would_wait_for(world):
+    for host in world.hosts:
+        host.instance.script.work_s = 30
+    limited = document_bytes(version=8)
+    limited = limited.replace(b'"idempotent", 2,', b'"idempotent", 0.2,')
+    world.store.put("op", "config", limited)
+    await until(lambda: all(host.node.follow.version == 8 for host in world.hosts))
+    status, _, _ = await world.call(world.hosts[0], request_deadline="60000")
+    assert status == 504
+    told = world.hosts[0].instance.runs + world.hosts[1].instance.runs
+    assert int(told[0].headers[b"request-deadline"]) <= 200
+
+
+async def test_new_document_is_in_force_everywhere_and_an_older_never(world):
+    world.store.put("op", "config", document_bytes(version=12))
+    await until(lambda: all(host.node.follow.version == 12 for host in world.hosts))
+    world.store.put("op", "config", document_bytes(version=11))
+    world.store.put("op", "config", b"not a document")
+    world.store.put("op", "config", document_bytes(version=13, routes={"columns": []}))
+    world.store.put("op", "config", document_bytes(version=14))
+    await until(lambda: all(host.node.follow.version == 14 for host in world.hosts))
+
+
+async def test_history_that_the_store_forgot_is_read_anew(world):
+    world.store.forget_history()
+    world.store.put("op", "config", document_bytes(version=9))
+    await until(lambda: all(host.node.follow.version == 9 for host in world.hosts))
+
+
+async def test_node_that_the_store_turns_away_learns_all_from_its_peers(world):
+    world.store.put("op", "config", document_bytes(version=20))
+    await until(lambda: world.hosts[0].node.follow.version == 20)
+    late = await world.add("i-9", store_url="http://127.0.0.1:9")
+    late.node.members.membership.contact(
+        [world.hosts[0].node.members.membership.me.node], asyncio.get_running_loop().time()
+    )
+    await world.settle()
+    assert late.node.follow.version == 20
+    status, _, _ = await world.call(late)
+    assert status == 200
+
+
+async def test_store_that_is_away_is_asked_by_few_and_seldom(world):
+    world.store.status = 503
+    world.store.put("op", "config", document_bytes(version=30))
+    await asyncio.sleep(1.0)
+    asked = len(world.store.calls)
+    await asyncio.sleep(2.0)
+    assert len(world.store.calls) - asked <= 2 * len(world.hosts) * 3
+    world.store.status = 200
+    await until(lambda: all(host.node.follow.version == 30 for host in world.hosts))
+
+
+async def test_shutdown_cuts_nothing_off_and_is_told(world):
+    leaving = world.hosts[0]
+    only_beside(world, 0)
+    leaving.instance.script.work_s = 0.5
+    answers = [asyncio.create_task(world.call(host)) for host in world.hosts]
+    await until(lambda: leaving.node.gate.gate.running == 2)
+    left = asyncio.create_task(leaving.node.leave())
+    await asyncio.sleep(0.05)
+    assert await leaving.ready(world.session) == 503
+    assert [(await answer)[0] for answer in answers] == [200, 200]
+    assert await leaving.ready(world.session) == 503
+    assert await left
+
+
+async def test_restarted_node_is_back_with_its_peers(world):
+    host = world.hosts[0]
+    await host.node.close()
+    again = type(host.node)(host.node.settings, host.node._adapter)
+    host.node = again
+    await again.start()
+    await host.announce(world.session)
+    await world.settle()
+    status, _, _ = await world.call(host)
+    assert status == 200
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,115 @@
+"""Lookup of routes, shares by weight, and the platform's documents."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from users_platform import DOCUMENT, document_bytes
+
+from peridottrack.exceptions import DocumentFaulty
+from peridottrack.platform.document import read_document
+from peridottrack.routing import Route, RouteTable, Share
+
+ONLY = (Share("s", 1.0),)
+
+
+def route(prefix, host="a", shares=ONLY):
+    return Route(prefix, host, prefix, True, shares, 1.0, 0.3, 1, 2)
+
+
+def test_longest_prefix_of_the_host_wins():
+    table = RouteTable(1, [route("/"), route("/a/"), route("/a/b/"), route("/a/", "other")], {})
+    found = {
+        path: getattr(table.find("a", path), "prefix", None)
+        for path in ("/", "/x", "/a", "/a/", "/a/b", "/a/b/", "/a/b/c/d", "/ab/c")
+    }
+    assert found == {
+        "/": "/",
+        "/x": "/",
+        "/a": "/",
+        "/a/": "/a/",
+        "/a/b": "/a/",
+        "/a/b/": "/a/b/",
+        "/a/b/c/d": "/a/b/",
+        "/ab/c": "/",
+    }
+    assert table.find("nowhere", "/a/") is None
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from("ab"), max_size=5), st.sets(st.text("ab/", max_size=6)))
+def test_lookup_agrees_with_a_scan(segments, names):
+    prefixes = {"/" + name.strip("/") + "/" if name.strip("/") else "/" for name in names}
+    table = RouteTable(1, [route(prefix) for prefix in prefixes], {})
+    path = "/" + "/".join(segments)
+    scanned = max((one for one in prefixes if path.startswith(one)), key=len, default=None)
+    found = table.find("a", path)
+    assert (found.prefix if found else None) == scanned
+
+
+def test_shares_get_their_weights():
+    made = route("/", shares=(Share("x", 90.0), Share("none", 0.0), Share("y", 10.0)))
+    rng = random.Random(3)
+    drawn = Counter(made.pick(rng) for _ in range(5_000))
+    assert drawn["none"] == 0
+    assert abs(drawn["y"] / 5_000 - 0.1) < 0.02
+
+
+def test_document_is_decoded_into_own_terms():
+    table = read_document(document_bytes())
+    found = table.find("shop.example", "/order/17")
+    assert (found.idempotent, found.timeout_s, found.target_s, found.attempts) == (False, 2, 0.4, 2)
+    assert table.service_by_name["katalog"].connections == 240
+    assert table.limits.header_bytes == 16384
+
+
+def changed(**fields):
+    rows = [
+        dict(zip(DOCUMENT["routes"]["columns"], row, strict=True))
+        for row in DOCUMENT["routes"]["rows"]
+    ]
+    rows[0].update(fields)
+    return {"columns": list(rows[0]), "rows": [list(row.values()) for row in rows]}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b"7",
+        document_bytes()[:-20],
+        b"[" * 100_000,
+        document_bytes(version=None),
+        document_bytes(services={"columns": ["name"], "rows": [["katalog", 1]]}),
+        document_bytes(routes=changed(service="unknown")),
+        document_bytes(routes=changed(timeout_s=-1)),
+        document_bytes(routes=changed(attempts=None)),
+        document_bytes(routes=changed(attempts=0)),
+        document_bytes(routes=changed(host=None)),
+        document_bytes(routes=changed(host="")),
+        document_bytes(routes=changed(prefix="/bare")),
+        document_bytes(routes=changed(kind="odd")),
+        document_bytes(routes=changed(split=[{"service": "katalog", "weight": -1}])),
+        document_bytes(routes=changed(split=[{"service": "katalog", "weight": 0}])),
+        document_bytes(limits={"max_header_bytes": 5}),
+    ],
+)
+def test_broken_documents_are_refused_with_a_reason(data):
+    with pytest.raises(DocumentFaulty) as caught:
+        read_document(data)
+    assert str(caught.value)
+
+
+def test_columns_may_come_in_any_order_and_null_means_left_out():
+    turned = json.loads(document_bytes())
+    turned["routes"]["columns"].reverse()
+    for row in turned["routes"]["rows"]:
+        row.reverse()
+    assert read_document(json.dumps(turned).encode()).find("shop.example", "/stock/").attempts == 2
--- /dev/null
+++ b/tests/users_platform.py
@@ -0,0 +1,314 @@
+"""Stand-ins for the users' platform on loopback: its store, and instances with their tempers."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import socket
+import struct
+from dataclasses import dataclass, field
+from typing import Any
+
+import httptools
+from aiohttp import web
+
+DOCUMENT = {
+    "version": 7,
+    "routes": {
+        "columns": [
+            "name",
+            "host",
+            "prefix",
+            "kind",
+            "timeout_s",
+            "target_latency_s",
+            "priority",
+            "split",
+            "attempts",
+            "service",
+        ],
+        "rows": [
+            ["read", "shop.example", "/stock/", "idempotent", 2, 0.3, 2, None, 2, "katalog"],
+            ["order", "shop.example", "/order/", "non_idempotent", 2, 0.4, 1, None, 2, "katalog"],
+        ],
+    },
+    "services": {
+        "columns": ["name", "health_path", "max_connections", "protocol", "tls"],
+        "rows": [["katalog", "/healthz", 240, "h1", False]],
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    },
+}
+
+
+def document_bytes(**changes: Any) -> bytes:
+    """Return the operators' document with some top-level fields changed."""
+    return json.dumps({**DOCUMENT, **changes}).encode()
+
+
+class Store:
+    """The platform's store: rows, a feed, outages, lost answers and a forgotten history."""
+
+    def __init__(self) -> None:
+        self.ver = 0
+        self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+        self.calls: list[str] = []
+        self.status = 200
+        self.lose_answers = False
+        self.oldest = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.url = ""
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_get("/v1/rows-get", self._get)
+        app.router.add_get("/v1/rows-feed", self._feed)
+        app.router.add_post("/v1/rows-tx", self._tx)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.01)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.url = f"http://127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        assert self._runner is not None
+        self._changed.set()
+        await self._runner.cleanup()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        self.ver += 1
+        self.rows[(table, "", key)] = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "ver": self.ver,
+        }
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        self.oldest = self.ver + 1
+
+    async def _answer(self, call: str, data: Any, status: int = 200) -> web.Response:
+        self.calls.append(call)
+        if self.status != 200:
+            return web.json_response({}, status=self.status)
+        if self.lose_answers:
+            raise ConnectionResetError
+        return web.json_response(data, status=status)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        table, start = request.query["table"], request.query.get("from", "")
+        rows = [row for (name, _, key), row in sorted(self.rows.items()) if name == table]
+        rows = [row for row in rows if row["key"] >= start]
+        page, truncated = rows[:2], len(rows) > 2
+        data = {"rows": page, "truncated": truncated, "ver": self.ver, "now_s": 1.0}
+        return await self._answer(f"get {table}", data)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        table, after = request.query["table"], int(request.query["after"])
+        if after < self.oldest:
+            return await self._answer("feed", {}, 410)
+        changed = self._changed
+        if not self._newer(table, after) and self.status == 200:
+            try:
+                async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        rows = self._newer(table, after)
+        return await self._answer("feed", {"rows": rows, "ver": self.ver, "now_s": 1.0})
+
+    def _newer(self, table: str, after: int) -> list[dict[str, Any]]:
+        return [
+            row for (name, _, _), row in self.rows.items() if name == table and row["ver"] > after
+        ]
+
+    async def _tx(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if self.status == 200:
+            for row in body["writes"]:
+                self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in body["remove"]:
+                self.rows.pop((row["table"], "", row["key"]), None)
+        return await self._answer("tx", {"ver": self.ver, "now_s": 1.0})
+
+
+@dataclass
+class Script:
+    """What an instance does with the next requests; each field counts down."""
+
+    lose: int = 0
+    cut: int = 0
+    double: int = 0
+    late_double: int = 0
+    garbage: int = 0
+    shed: int = 0
+    unframed: int = 0
+    unframed_reset: int = 0
+    unsigned: int = 0
+    misdirect: int = 0
+    fail: int = 0
+    no_id: int = 0
+    work_s: float = 0.0
+    load: str = "1,0,18,100"
+    keep_alive: str = ""
+
+
+@dataclass
+class Run:
+    """One request that an instance ran."""
+
+    method: str
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass
+class InstanceStandin:
+    """An instance that speaks as the users' pages say."""
+
+    name: str = "i-1"
+    script: Script = field(default_factory=Script)
+    runs: list[Run] = field(default_factory=list)
+    dropped: int = 0
+    connections: int = 0
+    port: int = 0
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Served(self), "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        self._server.close()
+        await asyncio.sleep(0)
+
+
+class _Served(asyncio.Protocol):
+    def __init__(self, instance: InstanceStandin) -> None:
+        self._instance = instance
+        self._parser = httptools.HttpRequestParser(self)
+        self._task: asyncio.Task[None] | None = None
+        self._owed = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._instance.connections += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._task is not None and not self._task.done():
+            self._instance.dropped += 1
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._target, self._headers, self._body = b"", {}, b""
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        run = Run(self._parser.get_method().decode(), self._target, self._headers, self._body)
+        self._task = asyncio.create_task(self._work(run))
+
+    async def _work(self, run: Run) -> None:
+        script = self._instance.script
+
+        def once(name: str) -> bool:
+            left = getattr(script, name)
+            setattr(script, name, max(0, left - 1))
+            return left > 0
+
+        request_id = run.headers.get(b"request-id", b"")
+        if once("shed"):
+            self._write(503, request_id, b"", b"Not-Executed: 1\r\n")
+            return
+        if once("misdirect"):
+            self._write(421, b"", b"", b"Instance-Id: i-other\r\n")
+            return
+        self._instance.runs.append(run)
+        if script.work_s:
+            await asyncio.sleep(script.work_s)
+        body = b"answer to " + request_id
+        late, self._owed = self._owed, b""
+        if late:
+            self._transport.write(late)
+        if once("lose"):
+            self._reset()
+        elif once("cut"):
+            whole = self._answer(200, request_id, body)
+            self._transport.write(whole[:-4])
+            self._transport.close()
+        elif once("garbage"):
+            self._transport.write(b"\x00\x01not http\r\n\r\n")
+        elif once("unframed"):
+            self._transport.write(self._answer(200, request_id, body, framed=False))
+            self._transport.close()
+        elif once("unframed_reset"):
+            self._transport.write(self._answer(200, request_id, body[:4], framed=False))
+            await asyncio.sleep(0.02)
+            self._reset()
+        elif once("unsigned"):
+            self._write(200, request_id, body, signed=False)
+        elif once("no_id"):
+            self._write(200, b"", body)
+        elif once("fail"):
+            self._write(500, request_id, b"failed")
+        else:
+            self._write(200, request_id, body)
+        if once("double"):
+            self._write(200, request_id, body)
+        if once("late_double"):
+            self._owed = self._answer(200, request_id, body)
+
+    def _reset(self) -> None:
+        """Close so that the other side sees a reset, not an end."""
+        kept = self._transport.get_extra_info("socket")
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._transport.abort()
+
+    def _write(
+        self, status: int, request_id: bytes, body: bytes, more: bytes = b"", signed: bool = True
+    ) -> None:
+        self._transport.write(self._answer(status, request_id, body, more, signed=signed))
+
+    def _answer(
+        self,
+        status: int,
+        request_id: bytes,
+        body: bytes,
+        more: bytes = b"",
+        *,
+        framed: bool = True,
+        signed: bool = True,
+    ) -> bytes:
+        script = self._instance.script
+        lines = [b"HTTP/1.1 %d Whatever\r\n" % status, more]
+        if request_id:
+            lines.append(b"Request-Id: %b\r\n" % request_id)
+        if signed:
+            lines.append(b"Response-Signature: %b\r\n" % self._instance.name.encode())
+        if script.load:
+            lines.append(b"Instance-Load: %b\r\n" % script.load.encode())
+        if script.keep_alive:
+            lines.append(b"Keep-Alive: %b\r\n" % script.keep_alive.encode())
+        lines.append(b"Content-Length: %d\r\n" % len(body) if framed else b"Connection: close\r\n")
+        return b"".join([*lines, b"\r\n", body])
