Slots above the knee are tried, urgent calls find room, a shutdown ends

Ruled out: learned figures lost in the restart as the only cause (the same before it).

Change: an instance is filled to 0.8 of its slots first; all slots are tried while requests wait, and kept if runs take no longer than they bring. The lowest rank leaves room for what more urgent ranks use on average. A stopping node closes its gate after the first answer that it is not ready, and closes idle connections of callers once it is known and nothing is forwarded.

--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -17,6 +19,7 @@
 from peridottrack import log
 from peridottrack.dialect import LoadFigures
 from peridottrack.frames import GateLoad
+from peridottrack.knee import Knee
 from peridottrack.spells import Spells
 from peridottrack.types import Clock, InstanceId, ServiceName
 
@@ -26,12 +29,10 @@
 """Run time that is assumed of a route that never ran here."""
 OUTLIER = 3.0
 """Factor over the usual at which a run time is cut, so that a spell teaches little."""
-KNEE_SHARE = 0.8
-"""Share of its slots above which an instance may slow down; see `KneeDetector`."""
-KNEE_FACTOR = 1.25
-"""Slowdown above that share from which fewer slots do more work: the inverse of the share."""
-KNEE_SAMPLES = 20
-"""Runs on each side that a verdict needs."""
+URGENT_HEADROOM = 1.5
+"""Slots kept for urgent requests, as a factor on those that they use on average."""
+URGENT_MEMORY_S = 2.0
+"""Time over which that average is taken."""
 LEAST_RUN_SHARE = 0.5
 """Share of its usual run time that must be left for a request to be started: runs vary."""
 WAITING_PER_SLOT = 3
@@ -84,35 +85,6 @@
     waiting: bool = False
 
 
-@dataclass(slots=True)
-class KneeDetector:
-    """Finds out whether the instance slows down when it is nearly full.
-
-    Compares run times, relative to their route's usual one, between starts above and below
-    `KNEE_SHARE` of the slots.
-    """
-
-    below: float = 1.0
-    above: float = 1.0
-    below_count: int = 0
-    above_count: int = 0
-
-    def add(self, relative: float, high: bool) -> None:
-        """Take in one run."""
-        if high:
-            self.above_count += 1
-            self.above += (relative - self.above) / min(self.above_count, KNEE_SAMPLES)
-        else:
-            self.below_count += 1
-            self.below += (relative - self.below) / min(self.below_count, KNEE_SAMPLES)
-
-    @property
-    def found(self) -> bool:
-        """Whether more requests than the share do less work."""
-        enough = min(self.above_count, self.below_count) >= KNEE_SAMPLES
-        return enough and self.above > KNEE_FACTOR * self.below
-
-
 @dataclass(slots=True)
 class _RunTime:
     """Moving average of a route's run time at usual speed, in seconds."""
@@ -125,6 +97,45 @@
         self.mean_s += (seconds - self.mean_s) * max(RUN_WEIGHT, 1.0 / self.count)
 
 
+@dataclass(slots=True)
+class _Urgent:
+    """How many of the running requests are more urgent than the least urgent ones.
+
+    Attributes
+    ----------
+    rank
+        The highest number of a rank that counts as urgent; below all ranks until two were seen.
+    """
+
+    rank: int = -1
+    running: int = 0
+    _mean: float = 0.0
+    _at: float = 0.0
+    _lowest: int = -1
+    _running_by_rank: Counter[int] = field(default_factory=Counter)
+
+    def started(self, rank: int, now: float) -> None:
+        if rank > self._lowest:
+            # Everything seen so far is more urgent than this one.
+            self.rank, self._lowest = self._lowest, rank
+        self._count(rank, 1, now)
+
+    def ended(self, rank: int, now: float) -> None:
+        self._count(rank, -1, now)
+
+    def mean(self, now: float) -> float:
+        """Return the moving average of the urgent requests that run."""
+        fresh = 1.0 - math.exp(-max(0.0, now - self._at) / URGENT_MEMORY_S)
+        return self._mean + (self.running - self._mean) * fresh
+
+    def _count(self, rank: int, change: int, now: float) -> None:
+        self._mean, self._at = self.mean(now), now
+        self._running_by_rank[rank] += change
+        self.running = sum(
+            count for other, count in self._running_by_rank.items() if other <= self.rank
+        )
+
+
 @dataclass(slots=True)
 class Beside:
     """What is known of the instance beside this node."""
@@ -134,7 +145,7 @@
     slots: int = 0
     state: GateState = GateState.ABSENT
     warm_at: float = 0.0
-    knee: KneeDetector = field(default_factory=KneeDetector)
+    knee: Knee = field(default_factory=Knee)
 
 
 class Gate:
@@ -152,6 +163,7 @@
         self._run_time_by_route: dict[str, _RunTime] = {}
         self._mean_run = _RunTime()
         self.spells = Spells()
+        self._urgent = _Urgent()
         self.beside = Beside()
         self.running = 0
         self.stopping = False
@@ -204,8 +216,7 @@
     @property
     def limit(self) -> int:
         """Requests that may run at the same time."""
-        slots = self.beside.slots
-        return max(1, int(slots * KNEE_SHARE)) if self.beside.knee.found else slots
+        return self.beside.knee.limit(self.beside.slots)
 
     def hear_load(self, figures: LoadFigures) -> None:
         """Take in what the instance said with an answer."""
@@ -246,11 +257,12 @@
         refusal = self._refusal(ticket, instance)
         if refusal is not None:
             ticket.decided(refusal)
-        elif self.running < self.limit:
+        elif self._has_slot(ticket):
             self._start(ticket)
         else:
             ticket.waiting = True
             self._queue.append(ticket)
+            self.beside.knee.wanted(ticket.came_at)
 
     def _refusal(self, ticket: Ticket, instance: InstanceId) -> Verdict | None:
         if not self.is_open:
@@ -259,7 +271,7 @@
             return Verdict.WRONG_INSTANCE
         if ticket.may_pass_back and self.spells.surely_slow(ticket.came_at):
             return Verdict.SLOW
-        if self.running < self.limit:
+        if self._has_slot(ticket):
             return None
         if self.waiting >= WAITING_PER_SLOT * self.beside.slots:
             return Verdict.FULL
@@ -270,6 +282,19 @@
             return Verdict.TOO_LATE
         return None
 
+    def _has_slot(self, ticket: Ticket) -> bool:
+        """Tell whether a request may start; those of the lowest rank leave room for the others.
+
+        Answers the pattern of calls that running requests make: each is short and urgent, and
+        many running requests wait for them.
+        """
+        if self.running >= self.limit:
+            return False
+        if ticket.rank <= self._urgent.rank:
+            return True
+        kept = min(self._urgent.mean(self._clock.now()) * URGENT_HEADROOM, self.limit / 2)
+        return self.running - self._urgent.running < self.limit - kept
+
     def _late_waiting(self) -> int:
         """Return how many of those that wait will miss their target."""
         now = self._clock.now()
@@ -314,18 +339,21 @@
             Whether it ran to its end, so that its duration tells something.
         """
         self.running -= 1
+        self._urgent.ended(ticket.rank, self._clock.now())
         if ran:
             self._learn(ticket)
         self._start_waiting()
 
     def _learn(self, ticket: Ticket) -> None:
         seconds = self.run_time_s(ticket)
-        usual_s = self.run_s(ticket.route)
-        relative = min(seconds / max(usual_s, 0.001), OUTLIER)
-        high = ticket.running_at_start > KNEE_SHARE * self.beside.slots
-        self.beside.knee.add(relative, high)
         run_time = self._run_time_by_route.setdefault(ticket.route, _RunTime())
-        run_time.add(relative * usual_s if run_time.count else seconds)
+        relative = seconds / max(run_time.mean_s, 0.001)
+        knee, slots = self.beside.knee, self.beside.slots
+        above = knee.is_above(ticket.running_at_start, slots)
+        if run_time.count:
+            knee.add(relative, above)
+        if not above or not run_time.count:
+            run_time.add(min(relative, OUTLIER) * run_time.mean_s if run_time.count else seconds)
         self._mean_run.add(seconds)
 
     def run_time_s(self, ticket: Ticket) -> float:
@@ -336,6 +364,8 @@
         now = self._clock.now()
         while self._queue and self.running < self.limit:
             ticket = min(self._queue, key=lambda one: self._turn(one, now))
+            if not self._has_slot(ticket):
+                return
             self._queue.remove(ticket)
             ticket.waiting = False
             if now + self.run_s(ticket.route) * LEAST_RUN_SHARE > ticket.deadline:
@@ -346,6 +376,7 @@
     def _start(self, ticket: Ticket) -> None:
         self.running += 1
         ticket.started_at = self._clock.now()
+        self._urgent.started(ticket.rank, ticket.started_at)
         ticket.running_at_start = self.running
         ticket.slowdown_at_start = self.slowdown()
         ticket.decided(Verdict.RUN)
--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -124,6 +124,14 @@
         """Ask callers to leave: from now on each answer ends its connection."""
         self.closing = True
 
+    def close_idle(self) -> None:
+        """Accept no more connections and close those on which nothing is asked."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.abort()
+
     async def stop(self) -> None:
         """Close the listener and what is left of the connections."""
         if self._server is not None:
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -46,6 +46,8 @@
 """Time before the end of a shutdown that is left for closing connections."""
 RUNNER_CLOSE_S = 0.05
 """How long a closing listener waits for calls of the platform that are not answered yet."""
+GATE_CLOSE_S = 4.0
+"""Time before the end of a shutdown at which the gate closes at the latest: runs must end."""
 LOOK_S = 0.02
 """How often a shutdown looks whether all work is done."""
 
@@ -119,11 +121,14 @@
         deadline = started_at + self.settings.shutdown_s - CLOSE_MARGIN_S
         log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._forwarded)
         self._leaving = True
-        self.gate.gate.stopping = True
-        self.gate.gate.changed(True)
         self.ingress.begin_close()
-        while self._clock.now() < deadline and not self._may_close():
-            await asyncio.sleep(LOOK_S)
+        await self._until(lambda: self._unready_answers > 0, deadline - GATE_CLOSE_S)
+        self.gate.gate.stopping = True
+        self.gate.gate.close()
+        await self._until(lambda: self._is_known_unready() and not self._forwarded, deadline)
+        # Only now does the instance beside need this node no more.
+        self.ingress.close_idle()
+        await self._until(lambda: not self.ingress.in_flight and not self._forwarded, deadline)
         idle = not self.ingress.in_flight and not self._forwarded
         self.members.membership.leave(self._clock.now())
         await self.close()
@@ -134,10 +139,13 @@
     def _forwarded(self) -> int:
         return self.link_server.in_flight + self.gate.gate.running
 
-    def _may_close(self) -> bool:
+    async def _until(self, condition: Callable[[], bool], deadline: float) -> None:
+        while self._clock.now() < deadline and not condition():
+            await asyncio.sleep(LOOK_S)
+
+    def _is_known_unready(self) -> bool:
         known = self._unready_answers >= QUESTIONS_UNREADY
-        settled = known and self._clock.now() - self._unready_at > AFTER_QUESTION_S
-        return settled and not self.ingress.in_flight and not self._forwarded
+        return known and self._clock.now() - self._unready_at > AFTER_QUESTION_S
 
     async def close(self) -> None:
         """Stop at once."""
