A request whose run began in an unseen slow spell is sent a second time

Cause: of the runs that start slow, most do so in the milliseconds before anybody knows of the spell; the whole run then takes five times as long. The gate knows it with the next answer, 20 ms later.

Change: on the first slow word the gate tells the senders of what it started since the last good word; a request that may be repeated is then also sent to another gate that is not slow, within attempts and the shared budget; the first success wins and the other send is given up. The same for what waits at a host that fell silent.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -10,7 +10,7 @@
 from peridottrack.dialect import Dialect, read_load
 from peridottrack.errors import ErrorKind, Ran
 from peridottrack.exceptions import BrokeOff, NotConnected
-from peridottrack.frames import ForwardedRequest, Frame, InstanceAnswer, Refusal
+from peridottrack.frames import ForwardedRequest, Frame, Hurry, InstanceAnswer, Refusal
 from peridottrack.gate import Gate, GateState, Ticket, Verdict
 from peridottrack.headerblock import Header, forwarded, pack, value_of
 from peridottrack.types import Clock, Endpoint
@@ -84,18 +84,22 @@
         self._answer_dropped = frozenset((b"content-length", dialect.load.encode()))
 
     def start(
-        self, frame: ForwardedRequest, reply: Reply, held_up_s: float = 0.0
+        self, frame: ForwardedRequest, reply: Reply, hurry: Reply, held_up_s: float = 0.0
     ) -> asyncio.Task[None]:
         """Take in a request; ``reply`` gets exactly one frame unless the task is cancelled.
 
         Parameters
         ----------
+        hurry
+            Gets a `Hurry` if the run began in a slow spell.
         held_up_s
             Seconds that the frame spent on the way.
         """
         deadline = self._clock.now() + frame.budget_s - held_up_s
         turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         work = _Work(frame, reply, deadline, turn)
+        if frame.idempotent:
+            work.ticket.slow_start = lambda: hurry(Hurry(frame.number))
         return asyncio.create_task(self._serve(work))
 
     async def _serve(self, work: _Work) -> None:
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from peridottrack import log
 from peridottrack.dialect import Dialect
@@ -14,11 +15,12 @@
 from peridottrack.frames import ForwardedRequest, InstanceAnswer, Refusal
 from peridottrack.headerblock import forwarded, pack, unpack, value_of
 from peridottrack.ingress import CallerRequest, WholeAnswer
-from peridottrack.link import GateRoute
+from peridottrack.link import GateRoute, Outcome
 from peridottrack.metrics import Metrics
 from peridottrack.placement import Choice, Placement
 from peridottrack.routing import Route, RouteTable
 from peridottrack.seconds import SecondSends
+from peridottrack.spells import SLOW
 from peridottrack.types import Clock, InstanceId, Random, ServiceName
 
 ANSWER_MARGIN_S = 0.1
@@ -73,7 +75,8 @@
 
     def may_have_run(self, instance: InstanceId) -> None:
         """Note that an instance got it and did not say that it left it."""
-        self.sent_to.append(instance)
+        if instance not in self.sent_to:
+            self.sent_to.append(instance)
         self.arrived = True
         self.unsure = True
 
@@ -242,25 +245,94 @@
         frame = self._frame(journey, instance, started_at, pass_back)
         try:
             async with asyncio.timeout_at(journey.deadline + ANSWER_MARGIN_S):
-                outcome = await choice.route.ask(frame)
+                if not journey.route.idempotent:
+                    outcome = await choice.route.ask(frame)
+                    return self._take_outcome(journey, instance, outcome)
+                return await self._ask_twice(journey, choice, frame)
         except TimeoutError:
             journey.may_have_run(instance)
             journey.last_kind = ErrorKind.DEADLINE_PASSED
             self._placement.ended(instance, True)
-            return None
         except LinkLost as error:
-            if error.sent:
-                journey.may_have_run(instance)
-                journey.last_kind = ErrorKind.UPSTREAM_FAILED
-            else:
-                journey.refused_by.add(instance)
-                journey.last_kind = ErrorKind.UPSTREAM_UNREACHABLE
+            self._take_loss(journey, instance, error)
+        return None
+
+    async def _ask_twice(
+        self, journey: _Journey, choice: Choice, frame: ForwardedRequest
+    ) -> WholeAnswer | None:
+        """Ask a gate, and another one if the first says that its run began in a slow spell.
+
+        Answers the pattern of hosts that turn slow unseen: what starts before the news is slow to
+        its end, and its gate knows it within milliseconds.
+        """
+        hurried = asyncio.get_running_loop().create_future()
+
+        def hurry() -> None:
+            if not hurried.done():
+                hurried.set_result(None)
+
+        first = asyncio.create_task(choice.route.ask(frame, hurry))
+        instance_by_task = {first: choice.load.instance}
+        try:
+            await asyncio.wait((first, hurried), return_when=asyncio.FIRST_COMPLETED)
+            rescue = None if first.done() else self._rescue(journey, choice.load.instance)
+            if rescue is not None:
+                instance_by_task[asyncio.create_task(rescue[1])] = rescue[0]
+            return await self._first_good(journey, instance_by_task)
+        finally:
+            hurried.cancel()
+            for task in instance_by_task:
+                task.cancel()
+
+    def _rescue(
+        self, journey: _Journey, instance: InstanceId
+    ) -> tuple[InstanceId, Coroutine[Any, Any, Outcome]] | None:
+        """Return a second send if route, budget and gates allow one."""
+        journey.may_have_run(instance)
+        if not self._may_repeat(journey):
             return None
+        choice = self._choose(journey)
+        if choice is None or choice.load.slowdown >= SLOW:
+            return None
+        if not self._seconds(journey.service).take():
+            return None
+        frame = self._frame(journey, choice.load.instance, self._clock.now(), False)
+        return choice.load.instance, choice.route.ask(frame)
+
+    async def _first_good(
+        self, journey: _Journey, instance_by_task: dict[asyncio.Task[Outcome], InstanceId]
+    ) -> WholeAnswer | None:
+        """Return the first success; None if all sends ended without one."""
+        pending = set(instance_by_task)
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                instance = instance_by_task[task]
+                try:
+                    answer = self._take_outcome(journey, instance, task.result())
+                except LinkLost as error:
+                    self._take_loss(journey, instance, error)
+                    continue
+                if answer is not None:
+                    return answer
+        return None
+
+    def _take_outcome(
+        self, journey: _Journey, instance: InstanceId, outcome: Outcome
+    ) -> WholeAnswer | None:
         if isinstance(outcome, Refusal):
             self._take_refusal(journey, instance, outcome)
             return None
         return self._take_answer(journey, instance, outcome)
 
+    def _take_loss(self, journey: _Journey, instance: InstanceId, error: LinkLost) -> None:
+        if error.sent:
+            journey.may_have_run(instance)
+            journey.last_kind = ErrorKind.UPSTREAM_FAILED
+        else:
+            journey.refused_by.add(instance)
+            journey.last_kind = ErrorKind.UPSTREAM_UNREACHABLE
+
     def _frame(
         self, journey: _Journey, instance: InstanceId, now: float, pass_back: bool
     ) -> ForwardedRequest:
--- a/peridottrack/frames.capnp
+++ b/peridottrack/frames.capnp
@@ -64,6 +64,7 @@
       load @26 :Load;
     }
     load @27 :Load;
+    hurry @36 :UInt32;
     ping @28 :UInt32;
     pong @29 :UInt32;
     wantDocument @30 :UInt64;
--- a/peridottrack/frames.py
+++ b/peridottrack/frames.py
@@ -165,6 +165,13 @@
     load: GateLoad
 
 
+@dataclass(frozen=True, slots=True)
+class Hurry:
+    """A running request began in a slow spell, so that a second send would be answered first."""
+
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class LinkPing:
     """Asks for a `LinkPong` with the same number."""
@@ -201,6 +208,7 @@
     | InstanceAnswer
     | Refusal
     | GateLoad
+    | Hurry
     | LinkPing
     | LinkPong
     | WantDocument
@@ -442,6 +450,7 @@
     InstanceAnswer: _fill_answer,
     Refusal: _fill_refusal,
     GateLoad: lambda message, frame: _fill_load(message.init("load"), frame),
+    Hurry: lambda message, frame: setattr(message, "hurry", frame.number),
     LinkPing: lambda message, frame: setattr(message, "ping", frame.number),
     LinkPong: lambda message, frame: setattr(message, "pong", frame.number),
     WantDocument: lambda message, frame: setattr(message, "wantDocument", frame.have),
@@ -455,6 +464,7 @@
     "answer": _read_answer,
     "refusal": _read_refusal,
     "load": lambda message: _read_load(message.load),
+    "hurry": lambda message: Hurry(message.hurry),
     "ping": lambda message: LinkPing(message.ping),
     "pong": lambda message: LinkPong(message.pong),
     "wantDocument": lambda message: WantDocument(message.wantDocument),
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -20,7 +20,7 @@
 from peridottrack.dialect import LoadFigures
 from peridottrack.frames import GateLoad
 from peridottrack.knee import Knee
-from peridottrack.spells import Spells
+from peridottrack.spells import SLOW, Spells
 from peridottrack.types import Clock, InstanceId, ServiceName
 
 RUN_WEIGHT = 0.1
@@ -70,6 +70,8 @@
         Called once with the verdict.
     may_pass_back
         Whether it is better off elsewhere while the host is slow.
+    slow_start
+        Called if it turns out that the run began in a slow spell.
     """
 
     route: str
@@ -78,6 +80,7 @@
     deadline: float
     decided: Callable[[Verdict], None]
     may_pass_back: bool = False
+    slow_start: Callable[[], None] = lambda: None
     came_at: float = 0.0
     started_at: float = 0.0
     running_at_start: int = 0
@@ -165,7 +168,7 @@
         self.spells = Spells()
         self._urgent = _Urgent()
         self.beside = Beside()
-        self.running = 0
+        self._running: set[Ticket] = set()
         self.stopping = False
         self.changed: Callable[[bool], None] = lambda urgent: None
 
@@ -208,6 +211,11 @@
         """Whether new requests are taken."""
         return self.beside.state is GateState.OPEN and not self.stopping
 
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return len(self._running)
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
@@ -220,11 +228,17 @@
 
     def hear_load(self, figures: LoadFigures) -> None:
         """Take in what the instance said with an answer."""
+        well_at = self.spells.at
         turned = self.spells.hear(figures.slowdown, self._clock.now())
         if figures.slots and figures.slots != self.beside.slots:
             self.beside.slots = figures.slots
         if turned:
             self.changed(True)
+        if turned and figures.slowdown >= SLOW:
+            # The spell began between the two words: what started since then is in it.
+            for ticket in self._running:
+                if ticket.started_at > well_at:
+                    ticket.slow_start()
 
     def slowdown(self) -> float:
         """Return how many times longer than usual work that starts now is expected to take."""
@@ -338,7 +352,7 @@
         ran
             Whether it ran to its end, so that its duration tells something.
         """
-        self.running -= 1
+        self._running.remove(ticket)
         self._urgent.ended(ticket.rank, self._clock.now())
         if ran:
             self._learn(ticket)
@@ -374,7 +388,7 @@
                 self._start(ticket)
 
     def _start(self, ticket: Ticket) -> None:
-        self.running += 1
+        self._running.add(ticket)
         ticket.started_at = self._clock.now()
         self._urgent.started(ticket.rank, ticket.started_at)
         ticket.running_at_start = self.running
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -19,6 +19,7 @@
     FrameWriter,
     GateLoad,
     Hello,
+    Hurry,
     InstanceAnswer,
     LinkPing,
     LinkPong,
@@ -49,7 +50,7 @@
 """How long the quickest way of a frame is remembered to measure later ones by."""
 
 Outcome = InstanceAnswer | Refusal
-HeardLoad = Callable[[], None]
+Hurried = Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,9 +100,14 @@
         """Requests sent after the load figures came."""
         ...
 
-    async def ask(self, request: ForwardedRequest) -> Outcome:
+    async def ask(self, request: ForwardedRequest, hurry: Hurried = lambda: None) -> Outcome:
         """Send a request and wait for its outcome; cancelling it gives the request up.
 
+        Parameters
+        ----------
+        hurry
+            Called if a second send would be answered first.
+
         Raises
         ------
         LinkLost
@@ -132,6 +138,10 @@
         return taken - min(self._current, self._previous)
 
 
+def _nothing() -> None:
+    """Take the place of a callback of a request that is over."""
+
+
 class LinkServer:
     """Accepts connections of other nodes and hands their requests to the gate."""
 
@@ -242,7 +252,10 @@
             self.task_by_number.pop(frame.number, None)
             self.write(encode(answer))
 
-        task = self._server.gate.start(frame, reply, held_up_s)
+        def hurry(news: Frame) -> None:
+            self.write(encode(news))
+
+        task = self._server.gate.start(frame, reply, hurry, held_up_s)
         self.task_by_number[frame.number] = task
         task.add_done_callback(lambda _: self.task_by_number.pop(frame.number, None))
 
@@ -305,10 +318,10 @@
         """Nothing is unknown here."""
         return 0
 
-    async def ask(self, request: ForwardedRequest) -> Outcome:
+    async def ask(self, request: ForwardedRequest, hurry: Hurried = lambda: None) -> Outcome:
         """Hand a request to the gate and wait."""
         answer: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
-        task = self._gate.start(request, answer.set_result)
+        task = self._gate.start(request, answer.set_result, lambda news: hurry())
         self.outstanding += 1
         try:
             found = await answer
@@ -340,6 +353,7 @@
         self._connection: _LinkConnection | None = None
         self._waiter_by_number: dict[int, asyncio.Future[Outcome]] = {}
         self._sent_at_by_number: dict[int, float] = {}
+        self._hurry_by_number: dict[int, Hurried] = {}
         self.load: GateLoad | None = None
         self.heard_at = float("-inf")
         self._pinged_at = float("-inf")
@@ -432,6 +446,10 @@
                 self.lost(connection, "silent")
             elif silent_s > (PING_BUSY_S if self._waiter_by_number else PING_IDLE_S):
                 self._ping(connection, now)
+            if self._suspect(now):
+                # What waits for a host that fell silent is better sent elsewhere.
+                for hurry in list(self._hurry_by_number.values()):
+                    hurry()
 
     def _ping(self, connection: _LinkConnection, now: float) -> None:
         if self._pinged_at > self.heard_at and now - self._pinged_at < PING_IDLE_S:
@@ -450,13 +468,19 @@
             self.load = frame
         elif isinstance(frame, InstanceAnswer | Refusal):
             self.load = frame.load
-            self._sent_at_by_number.pop(frame.number, None)
-            waiter = self._waiter_by_number.pop(frame.number, None)
+            waiter = self._forget(frame.number)
             if waiter is not None and not waiter.done():
                 waiter.set_result(frame)
+        elif isinstance(frame, Hurry):
+            self._hurry_by_number.get(frame.number, _nothing)()
         elif isinstance(frame, DocumentFrame):
             self.hooks.take_document(frame)
 
+    def _forget(self, number: int) -> asyncio.Future[Outcome] | None:
+        self._sent_at_by_number.pop(number, None)
+        self._hurry_by_number.pop(number, None)
+        return self._waiter_by_number.pop(number, None)
+
     def lost(self, connection: _LinkConnection, reason: str) -> None:
         """Fail all that waits for an answer."""
         if self._connection is not connection:
@@ -474,10 +498,11 @@
                 waiter.set_exception(LinkLost(f"{self._endpoint}: {reason}"))
         self._waiter_by_number.clear()
         self._sent_at_by_number.clear()
+        self._hurry_by_number.clear()
 
     # -- requests ----------------------------------------------------------------------
 
-    async def ask(self, request: ForwardedRequest) -> Outcome:
+    async def ask(self, request: ForwardedRequest, hurry: Hurried = lambda: None) -> Outcome:
         """Send a request and wait for its outcome."""
         connection = self._connection
         if connection is None:
@@ -485,13 +510,13 @@
         waiter: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._waiter_by_number[request.number] = waiter
         self._sent_at_by_number[request.number] = self._clock.now()
+        self._hurry_by_number[request.number] = hurry
         connection.write(request)
         try:
             return await waiter
         except asyncio.CancelledError:
-            if self._waiter_by_number.pop(request.number, None) is not None:
+            if self._forget(request.number) is not None:
                 connection.write(Cancel(request.number))
-            self._sent_at_by_number.pop(request.number, None)
             raise
 
     def send(self, frame: Frame) -> bool:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -252,3 +252,19 @@
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
 test_gate_machine = GateMachine.TestCase
+
+
+def test_runs_that_began_in_an_unseen_spell_are_told(gate, clock):
+    told = []
+    before, within = ticket([]), ticket([])
+    before.slow_start = lambda: told.append("before")
+    within.slow_start = lambda: told.append("within")
+    gate.ask(before, "i-1")
+    clock.advance(0.01)
+    gate.hear_load(LoadFigures(1, 0, 3, 1.0))
+    clock.advance(0.01)
+    gate.ask(within, "i-1")
+    clock.advance(0.01)
+    gate.hear_load(LoadFigures(2, 0, 3, 5.0))
+    gate.hear_load(LoadFigures(2, 0, 3, 5.0))
+    assert told == ["within"]
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -9,6 +9,8 @@
 from users_platform import document_bytes
 from yarl import URL
 
+from peridottrack.dialect import LoadFigures
+
 
 @pytest.fixture
 async def world():
@@ -299,3 +301,31 @@
     await until(lambda: host.node.follow.table is not None)
     await asyncio.sleep(0.1)
     assert not host.node.gate.gate.is_open
+
+
+async def start_in_a_spell(world, method):
+    """Let a request begin at the first host just before its instance says that it is slow."""
+    first, second = world.hosts
+    second.node.gate.gate.close()
+    await until(lambda: not any(route.load.open for route in routes(first)[1:]))
+    first.instance.script.work_s = 0.8
+    path = "/stock/1" if method == "GET" else "/order/1"
+    request = asyncio.create_task(world.call(first, path, method))
+    await until(lambda: first.instance.runs)
+    await second.announce(world.session, born=3_000)
+    await until(lambda: sum(route.load.open for route in routes(first)) == 2)
+    first.node.gate.gate.hear_load(LoadFigures(1, 0, 18, 5.0))
+    return first, second, await request
+
+
+async def test_request_that_began_in_a_slow_spell_is_answered_by_another(world):
+    first, second, (status, _, headers) = await start_in_a_spell(world, "GET")
+    assert (status, headers["Response-Signature"]) == (200, "i-1")
+    await until(lambda: first.instance.dropped == 1)
+    assert (len(first.instance.runs), len(second.instance.runs)) == (1, 1)
+
+
+async def test_order_that_began_in_a_slow_spell_stays_where_it_is(world):
+    first, second, (status, _, headers) = await start_in_a_spell(world, "POST")
+    assert (status, headers["Response-Signature"]) == (200, "i-0")
+    assert second.instance.runs == []
