Logs that are bounded and never wait; explain tells a request's story

Cause: an engineer on call had lines of refused requests only, written without bound to a stream that could block the node.

Ruled out: a thread for writing (one loop, one thread); sampling failures (a complaint is about one).

Change: a table of all events with fields and units, from which docs/EVENTS.md is made and against which every line in the code is held; successes are sampled, failures written up to a rate, what is withheld is counted and told; a writer that never waits for its reader; `peridottrack explain` merges logs of any number of nodes by a request's id. New lines at the gate and for second sends.

--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any, BinaryIO, NoReturn
 
 import aiohttp
 import click
@@ -103,11 +103,31 @@
 def mesh(path: Path) -> None:
     """Run a node with a gate on the users' platform, until SIGTERM."""
     settings = read_mesh_settings(path.read_text(encoding="utf-8"), str(path))
-    log.start_logging(settings.log_level, settings.debug, sys.stdout)
+    log.start_patient_logging(settings.log_level, settings.debug, sys.stdout.fileno())
     left_well = asyncio.run(_run_mesh(settings, path))
     sys.exit(0 if left_well else 1)
 
 
+@cli.command("events")
+def print_events() -> None:
+    """Print the reference of all log events of a node with a gate."""
+    from peridottrack.events import reference
+
+    click.echo(reference(), nl=False)
+
+
+@cli.command()
+@click.argument("request")
+@click.argument("files", nargs=-1, type=click.File("rb"))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+def explain(request: str, files: tuple[BinaryIO, ...], as_json: bool) -> None:
+    """Tell the story of a REQUEST from the logs of any number of nodes (or standard input)."""
+    from peridottrack.explain import read_story, story_json, story_text
+
+    story = read_story(request, list(files) or [sys.stdin.buffer])
+    click.echo(story_json(story) if as_json else story_text(request, story))
+
+
 @cli.command()
 @click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(path: Path) -> None:
@@ -116,6 +136,10 @@
     A file with the key callers_address is taken for settings.
     """
     text = path.read_text(encoding="utf-8")
+    if "upstream_address" in text:
+        read_mesh_settings(text, str(path))
+        click.echo(f"{path}: settings are valid")
+        return
     if "callers_address" in text:
         load_settings(path)
         click.echo(f"{path}: settings are valid")
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -206,9 +206,27 @@
 
     def _refuse(self, work: _Work, kind: ErrorKind, ran: Ran, why: str) -> None:
         wait_s = self.gate.forecast_s(work.ticket) if kind is not ErrorKind.NO_INSTANCE else 0.0
-        log.debug("gate", "request refused", request=work.frame.number, kind=kind.value, why=why)
+        if log.wanted("send refused"):
+            self._log_refusal(work, kind, ran, why)
         work.reply(Refusal(work.frame.number, kind, ran, wait_s, self.gate.load()))
 
+    def _log_refusal(self, work: _Work, kind: ErrorKind, ran: Ran, why: str) -> None:
+        load = self.gate.load()
+        log.logger.info(
+            "send refused",
+            request=_find_value(work.frame.head, self._id_name).decode("latin-1"),
+            instance=work.frame.instance,
+            kind=kind.value,
+            ran=ran.value,
+            why=why,
+            left_s=round(work.deadline - self._clock.now(), 4),
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            slowdown=load.slowdown,
+            slowdown_age_s=round(load.slowdown_age_s, 4),
+        )
+
     def _note_refused_connection(self) -> None:
         self._refused += 1
         if self._refused >= REFUSED_TO_ABSENT and self.gate.is_open:
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -205,8 +205,10 @@
             choice = self._choose(journey)
             if choice is None:
                 break
-            if journey.arrived and not seconds.take():
-                break
+            if journey.arrived:
+                if not seconds.take():
+                    break
+                self._log_again(journey, choice.load.instance, journey.last_kind.value)
             if not called:
                 called = True
                 seconds.called()
@@ -250,6 +252,8 @@
                     return self._take_outcome(journey, instance, outcome)
                 return await self._ask_twice(journey, choice, frame)
         except TimeoutError:
+            why = "no word at the deadline"
+            log.event("send lost", request=journey.request_id, instance=instance, why=why)
             journey.may_have_run(instance)
             journey.last_kind = ErrorKind.DEADLINE_PASSED
             self._placement.ended(instance, True)
@@ -296,6 +300,7 @@
             return None
         if not self._seconds(journey.service).take():
             return None
+        self._log_again(journey, choice.load.instance, "hurry")
         frame = self._frame(journey, choice.load.instance, self._clock.now(), False)
         return choice.load.instance, choice.route.ask(frame)
 
@@ -325,7 +330,17 @@
             return None
         return self._take_answer(journey, instance, outcome)
 
+    def _log_again(self, journey: _Journey, instance: InstanceId, why: str) -> None:
+        log.event(
+            "request sent again",
+            request=journey.request_id,
+            why=why,
+            instance=instance,
+            sent_to=journey.sent_to,
+        )
+
     def _take_loss(self, journey: _Journey, instance: InstanceId, error: LinkLost) -> None:
+        log.event("send lost", request=journey.request_id, instance=instance, why=str(error))
         if error.sent:
             journey.may_have_run(instance)
             journey.last_kind = ErrorKind.UPSTREAM_FAILED
@@ -378,9 +393,28 @@
             journey.last_kind = ErrorKind.UPSTREAM_FAILED
             return None
         self._learn(journey.route, answer.run_s)
-        self._metrics.call_outcome(journey.service, "ok").inc()
+        self._account(journey, answer.status)
         return whole
 
+    def _account(self, journey: _Journey, status: int) -> None:
+        now = self._clock.now()
+        took_s = now - journey.request.read_at
+        self._metrics.call_outcome(journey.service, "ok").inc()
+        self._metrics.call_duration(journey.service).observe(took_s)
+        name = "request late" if now > journey.target_at else "request answered"
+        if log.wanted(name):
+            log.logger.info(
+                name,
+                request=journey.request_id,
+                route=journey.route.name,
+                service=journey.service,
+                status=status,
+                took_s=round(took_s, 4),
+                target_s=journey.route.target_s,
+                sent_to=journey.sent_to,
+                refused_by=sorted(journey.refused_by),
+            )
+
     def _give_up(self, journey: _Journey) -> WholeAnswer:
         if journey.kept is not None:
             self._metrics.call_outcome(journey.service, "upstream_error").inc()
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -361,6 +361,11 @@
         self._pings = 0
         self._wake = asyncio.Event()
 
+    @property
+    def peer(self) -> str:
+        """The other side's address."""
+        return str(self._endpoint)
+
     def _me(self) -> Hello:
         """Return the hello; bytes to another failure domain are worth compressing."""
         hello = self._hello()
@@ -547,7 +552,7 @@
             for frame in self._reader.feed(data):
                 self._link.heard(frame)
         except FrameRejected as error:
-            log.warning("frame rejected", error=str(error))
+            log.warning("frame rejected", node=self._link.peer, error=str(error))
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -48,6 +48,8 @@
 """How long a closing listener waits for calls of the platform that are not answered yet."""
 GATE_CLOSE_S = 4.0
 """Time before the end of a shutdown at which the gate closes at the latest: runs must end."""
+TEND_LOG_S = 0.5
+"""How often lines that wait for a slow reader are tried again."""
 LOOK_S = 0.02
 """How often a shutdown looks whether all work is done."""
 
@@ -111,6 +113,7 @@
         callers = parse_endpoint(self.settings.callers_address)
         await self.ingress.start(callers.host, callers.port)
         self._spawn(self.members.run())
+        self._spawn(self._tend_log())
         self._spawn(self._join())
         self._spawn(self.follow.run())
         log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
@@ -133,6 +136,7 @@
         self.members.membership.leave(self._clock.now())
         await self.close()
         log.event("node left", idle=idle, took_s=round(self._clock.now() - started_at, 3))
+        log.tend()
         return idle
 
     @property
@@ -280,6 +284,11 @@
             self._unready_at = self._clock.now()
         return ready
 
+    async def _tend_log(self) -> None:
+        while True:
+            await asyncio.sleep(TEND_LOG_S)
+            log.tend()
+
     async def _join(self) -> None:
         pause_s = JOIN_PAUSE_S
         while not await self.members.join_once():
