--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -39,8 +39,10 @@
 """Silence after a ping from which the other side gets no new requests."""
 LOST_S = 2.0
 """Silence from which the connection is given up: well above a slow host's longest pause."""
+CONNECT_FIRST_S = 0.25
 CONNECT_TIMEOUT_S = 1.0
-"""A host that does not accept within this is away."""
+"""Bounds of the time that a host has to accept: the first tries are short, since hosts that come
+back together are not there for each other's first packet, and the next one is seconds away."""
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 2.0
 """Bounds of the pause between two attempts to connect; it doubles."""
@@ -396,11 +398,12 @@
 
     async def run(self) -> None:
         """Keep the connection up until cancelled."""
-        pause_s = RECONNECT_MIN_S
+        pause_s, timeout_s = RECONNECT_MIN_S, CONNECT_FIRST_S
         try:
             while True:
-                connection = await self._connect()
+                connection = await self._connect(timeout_s)
                 if connection is None:
+                    timeout_s = min(CONNECT_TIMEOUT_S, timeout_s * 2)
                     self._wake.clear()
                     try:
                         async with asyncio.timeout(pause_s):
@@ -408,7 +411,7 @@
                     except TimeoutError:
                         pause_s = min(RECONNECT_MAX_S, pause_s * 2)
                     continue
-                pause_s = RECONNECT_MIN_S
+                pause_s, timeout_s = RECONNECT_MIN_S, CONNECT_FIRST_S
                 await self._watch(connection)
                 await asyncio.sleep(RECONNECT_MIN_S)
         finally:
@@ -419,10 +422,10 @@
         """Try to connect now, since the other side was heard of."""
         self._wake.set()
 
-    async def _connect(self) -> _LinkConnection | None:
+    async def _connect(self, timeout_s: float) -> _LinkConnection | None:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: _LinkConnection(self), self._endpoint.host, self._endpoint.port
                 )
