A stopping node keeps its gate longer; the same request stays with its service of a split

Cause: three nodes of one service that stop a second after each other left it without a gate for two seconds: each closed its gate a second before it could end.

Ruled out: late documents (all twelve nodes had the new weights 20 ms after the acknowledgement); a drift of the draw (0.57 and 0.54 in the seconds before).

Change: the gate closes when it is known that the node is not ready, runs end, the process ends. A service of a split is chosen by the request itself; counts of first tries keep the shares where requests are alike.

Tests: shares, requests that come again, new weights.

--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -22,10 +22,13 @@
 from peridottrack.routing import Route, RouteTable
 from peridottrack.seconds import SecondSends
 from peridottrack.spells import SLOW
+from peridottrack.splits import Splitter, draw_of
 from peridottrack.types import Clock, InstanceId, Random, ServiceName
 
 ANSWER_MARGIN_S = 0.1
 """How long after the deadline the gate's last word is waited for; it says whether it ran."""
+FIRST_TRY_S = 0.02
+"""Time already spent up to which a request counts as asked for the first time."""
 MAX_SENDS = 6
 """Gates that are asked for one request, those included that refuse it as not run."""
 RUN_WEIGHT = 0.1
@@ -121,6 +124,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._splitter = Splitter()
         self._numbers = itertools.count(1)
         self._run_s_by_route: dict[str, float] = {}
         self._longest_s_by_route: dict[str, float] = {}
@@ -173,7 +177,7 @@
             request,
             request_id,
             route,
-            route.pick(self._rng),
+            self._service(request, route),
             request.read_at + self._allowed_s(request, route),
             request.read_at + route.target_s - self._spent_s(request, route),
             self._caller_line + pack(forwarded(request.headers, self._own_names)),
@@ -184,6 +188,12 @@
             return self._give_up(journey)
         return await self._travel(journey)
 
+    def _service(self, request: CallerRequest, route: Route) -> ServiceName:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        draw = draw_of(request.target, request.body)
+        return self._splitter.pick(route, draw, self._spent_s(request, route) < FIRST_TRY_S)
+
     def _told_s(self, request: CallerRequest) -> float | None:
         """Return how long the caller says that it waits."""
         told = value_of(request.headers, self._deadline_name)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -48,7 +48,7 @@
 """Time before the end of a shutdown that is left for closing connections."""
 RUNNER_CLOSE_S = 0.05
 """How long a closing listener waits for calls of the platform that are not answered yet."""
-GATE_CLOSE_S = 4.0
+GATE_CLOSE_S = 3.0
 """Time before the end of a shutdown at which the gate closes at the latest: runs must end."""
 TEND_LOG_S = 0.5
 """How often lines that wait for a slow reader are tried again."""
@@ -139,10 +139,11 @@
         log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._forwarded)
         self._leaving = True
         self.ingress.begin_close()
-        await self._until(lambda: self._unready_answers > 0, deadline - GATE_CLOSE_S)
+        # The instance beside is of use to the others until the last moment.
+        await self._until(self._is_known_unready, deadline - GATE_CLOSE_S)
         self.gate.gate.stopping = True
         self.gate.gate.close()
-        await self._until(lambda: self._is_known_unready() and not self._forwarded, deadline)
+        await self._until(lambda: not self._forwarded, deadline)
         # Only now does the instance beside need this node no more.
         self.ingress.close_idle()
         await self._until(lambda: not self.ingress.in_flight and not self._forwarded, deadline)
--- a/peridottrack/routing.py
+++ b/peridottrack/routing.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from peridottrack.types import Random, ServiceName
+from peridottrack.types import ServiceName
 
 MAX_ROUTE_SEGMENTS = 32
 """Path segments that a lookup looks at; no longer prefix is accepted."""
@@ -47,11 +47,9 @@
     priority: int
     attempts: int
 
-    def pick(self, rng: Random) -> ServiceName:
-        """Draw a service by weight."""
-        if len(self.shares) == 1:
-            return self.shares[0].service
-        left = rng.random() * sum(share.weight for share in self.shares)
+    def at(self, draw: float) -> ServiceName:
+        """Return the service at a point of [0, 1) in which each has room by its weight."""
+        left = draw * sum(share.weight for share in self.shares)
         for share in self.shares:
             left -= share.weight
             if left < 0 and share.weight > 0:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import random
 from collections import Counter
 
 import pytest
@@ -14,6 +13,7 @@
 from peridottrack.exceptions import DocumentFaulty
 from peridottrack.platform.document import read_document
 from peridottrack.routing import Route, RouteTable, Share
+from peridottrack.splits import Splitter, draw_of
 
 ONLY = (Share("s", 1.0),)
 
@@ -52,12 +52,38 @@
     assert (found.prefix if found else None) == scanned
 
 
-def test_shares_get_their_weights():
-    made = route("/", shares=(Share("x", 90.0), Share("none", 0.0), Share("y", 10.0)))
-    rng = random.Random(3)
-    drawn = Counter(made.pick(rng) for _ in range(5_000))
-    assert drawn["none"] == 0
-    assert abs(drawn["y"] / 5_000 - 0.1) < 0.02
+SPLIT = (Share("x", 70.0), Share("none", 0.0), Share("y", 30.0))
+
+
+def shares_of(services):
+    drawn = Counter(services)
+    return {name: drawn[name] / len(services) for name in ("x", "none", "y")}
+
+
+@pytest.mark.parametrize("alike", [False, True])
+def test_shares_get_their_weights_also_if_requests_are_alike(alike):
+    made, splitter = route("/", shares=SPLIT), Splitter()
+    draws = [draw_of(b"/same" if alike else b"/%d" % number, b"") for number in range(5_000)]
+    found = shares_of([splitter.pick(made, draw, True) for draw in draws])
+    assert found == pytest.approx({"x": 0.7, "none": 0.0, "y": 0.3}, abs=0.06)
+
+
+def test_request_that_comes_again_is_not_moved():
+    made, splitter = route("/", shares=SPLIT), Splitter()
+    for number in range(300):
+        draw = draw_of(b"/%d" % number, b"body")
+        first = splitter.pick(made, draw, False)
+        assert all(splitter.pick(made, draw, False) == first for _ in range(3))
+
+
+def test_new_weights_start_new_counts():
+    splitter = Splitter()
+    for number in range(500):
+        splitter.pick(route("/", shares=SPLIT), draw_of(b"/%d" % number, b""), True)
+    turned = route("/", shares=(Share("x", 10.0), Share("z", 90.0)))
+    draws = [draw_of(b"/%d" % number, b"") for number in range(1_000)]
+    drawn = Counter(splitter.pick(turned, draw, True) for draw in draws)
+    assert drawn["z"] / 1_000 == pytest.approx(0.9, abs=0.06)
 
 
 def test_document_is_decoded_into_own_terms():
