In doubt of a slow spell a gate asks its instance

Cause: where instances get few requests, their answers are too rare to tell of spells of some 150 ms; on the grown deployments (9 requests a second an instance) a quarter of the starts fell into one.

Ruled out: words of other requests (they are what is too rare); asking without doubt (each question has a price).

Change: before a request starts that a slow run would make late and that another gate could take, a word older than a quarter of a spell is renewed by the instance's health path (6 ms), one question for all that wait, 20 a second at most. A request may be passed back twice.

--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -150,6 +150,9 @@
     shutdown_s: float = Field(
         6.0, ge=0.5, le=600, description="Seconds from SIGTERM until the process must be gone."
     )
+    probes_per_s: float = Field(
+        20.0, ge=0, le=1_000, description="Questions a second to the instance beside, at most."
+    )
     second_ratio: float = Field(
         0.2, ge=0, le=1, description="Second sends as a share of a service's requests, all nodes."
     )
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from peridottrack import log
+from peridottrack.controllers.probe import Prober
 from peridottrack.dialect import Dialect, read_load
 from peridottrack.errors import ErrorKind, Ran
 from peridottrack.exceptions import BrokeOff, NotConnected
@@ -14,6 +15,7 @@
 from peridottrack.gate import Gate, GateState, Ticket, Verdict
 from peridottrack.headerblock import Header, forwarded, pack, value_of
 from peridottrack.poison import fingerprint
+from peridottrack.spells import SLOW
 from peridottrack.types import Clock, Endpoint, InstanceId
 from peridottrack.upstream import ConnectionPool, UpstreamAnswer
 
@@ -75,6 +77,8 @@
 
     Attributes
     ----------
+    prober
+        Asks the instance; None to rely on its answers alone.
     crashed
         Called with the fingerprint of a request that ran when the instance crashed.
     """
@@ -84,6 +88,7 @@
         self._clock = clock
         self._dialect = dialect
         self.pool = ConnectionPool(endpoint, clock)
+        self.prober: Prober | None = None
         self._refused = 0
         self._checks: set[asyncio.Task[None]] = set()
         self.crashed: Callable[[str, InstanceId], object] = lambda mark, instance: None
@@ -113,6 +118,8 @@
         return asyncio.create_task(self._serve(work))
 
     async def _serve(self, work: _Work) -> None:
+        if work.ticket.may_pass_back:
+            await self._look(work.ticket)
         self.gate.ask(work.ticket, work.frame.instance)
         try:
             async with asyncio.timeout_at(work.deadline):
@@ -128,6 +135,24 @@
         else:
             self._refuse(work, KIND_BY_VERDICT[verdict], Ran.NO, verdict.value)
 
+    async def _look(self, ticket: Ticket) -> None:
+        """Ask the instance how its host is, if a slow run would miss the target.
+
+        Answers the pattern of instances with few requests: their answers are too rare to tell of
+        spells of a few hundred milliseconds.
+        """
+        gate, now = self.gate, self._clock.now()
+        slow_run_s = gate.run_s(ticket.route) * max(gate.spells.slow, SLOW)
+        if (
+            self.prober is None
+            or not gate.spells.unsure(now)
+            or now + slow_run_s < ticket.target_at
+        ):
+            return
+        health = await self.prober.ask_soon()
+        if health is not None and health.figures is not None:
+            gate.hear_load(health.figures)
+
     async def _run(self, work: _Work) -> None:
         ran = False
         try:
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -11,11 +11,13 @@
 from peridottrack.dialect import Dialect, LoadFigures, read_load
 from peridottrack.exceptions import BrokeOff, NotConnected
 from peridottrack.headerblock import value_of
-from peridottrack.types import InstanceId, InstanceState, ServiceName
+from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
 from peridottrack.upstream import ConnectionPool
 
 PROBE_TIMEOUT_S = 0.5
 """How long an answer is waited for: an instance that is slow to say how it is, is not well."""
+SOON_S = 0.03
+"""How long a request is held for an answer: longer than an answer takes, short beside a run."""
 HEALTHY = 200
 UNKNOWN_BIRTH = 0
 """Birth of an instance that has not announced itself: its first word is newer."""
@@ -37,21 +39,54 @@
 
 
 class Prober:
-    """Asks one instance.
+    """Asks one instance, within the budget for measuring.
 
     Parameters
     ----------
     path
         Returns the path to ask at, None while it is not known.
+    per_s
+        Questions a second at most, on average.
     """
 
-    def __init__(self, pool: ConnectionPool, path: Callable[[], str | None], dialect: Dialect):
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        path: Callable[[], str | None],
+        dialect: Dialect,
+        per_s: float,
+        clock: Clock,
+    ) -> None:
         self._pool = pool
+        self._per_s = per_s
+        self._clock = clock
+        self._saved = per_s
+        self._earned_at = clock.now()
+        self._asking: asyncio.Task[Health | None] | None = None
         self._path = path
         self._id_name = dialect.request_id.encode()
         self._instance_name = dialect.instance_id.encode()
         self._load_name = dialect.load.encode()
 
+    async def ask_soon(self) -> Health | None:
+        """Ask, or wait for the answer to a question that is on its way; None beyond the budget."""
+        if self._asking is None or self._asking.done():
+            if not self._take():
+                return None
+            self._asking = asyncio.create_task(self.ask())
+        # Others wait for the same answer, so one that gives up must not end the question.
+        done, _ = await asyncio.wait((self._asking,), timeout=SOON_S)
+        return next(iter(done)).result() if done else None
+
+    def _take(self) -> bool:
+        now = self._clock.now()
+        earned = (now - self._earned_at) * self._per_s
+        self._saved, self._earned_at = min(self._per_s, self._saved + earned), now
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
     async def ask(self) -> Health | None:
         """Ask once; None if no answer came."""
         path = self._path()
--- a/peridottrack/debug.py
+++ b/peridottrack/debug.py
@@ -20,6 +20,7 @@
     """
     gc.collect()
     gc.freeze()
+    gc.enable()
     gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
 
 
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -27,6 +27,8 @@
 
 ANSWER_MARGIN_S = 0.1
 """How long after the deadline the gate's last word is waited for; it says whether it ran."""
+MAX_PASS_BACKS = 2
+"""Gates that may decline a request for being slow: each costs a way there and back."""
 FIRST_TRY_S = 0.02
 """Time already spent up to which a request counts as asked for the first time."""
 MAX_SENDS = 6
@@ -262,7 +264,8 @@
         """Ask one gate; None if the request may go elsewhere or has to be given up."""
         started_at = self._clock.now()
         instance = choice.load.instance
-        pass_back = choice.alternative and not journey.refused_by and not journey.sent_to
+        pass_back = choice.alternative and not journey.sent_to
+        pass_back = pass_back and len(journey.refused_by) < MAX_PASS_BACKS
         frame = self._frame(journey, instance, started_at, pass_back)
         try:
             async with asyncio.timeout_at(journey.deadline + ANSWER_MARGIN_S):
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -247,7 +247,10 @@
             self.metrics,
         )
         self.ingress = Ingress(self.forwarder.handle, self.forwarder.refuse, clock)
-        self.prober = Prober(self.gate.pool, self._health_path, dialect)
+        self.prober = Prober(
+            self.gate.pool, self._health_path, dialect, settings.probes_per_s, clock
+        )
+        self.gate.prober = self.prober
         self.members.reachable.subscribe(self._take_members)
 
     def _me(self) -> MemberUpdate:
--- a/peridottrack/spells.py
+++ b/peridottrack/spells.py
@@ -18,6 +18,8 @@
 """Weight of one spell in the moving length."""
 MEAN_WEIGHT = 0.01
 """Weight of one word in the long-term mean."""
+UNSURE_SHARE = 0.25
+"""Share of a spell's length after which a word is no longer relied on."""
 SLOW = 1.5
 """Factor from which a host counts as slow."""
 
@@ -40,18 +42,23 @@
         Long-term mean of the factors.
     spell_s
         Usual length of a slow spell.
+    slow
+        Factor of the last slow word, 1 before any.
     """
 
     last: float = 1.0
     at: float = float("-inf")
     mean: float = 1.0
     spell_s: float = USUAL_SPELL_S
+    slow: float = 1.0
     _slow_since: float | None = None
 
     def hear(self, factor: float, now: float) -> bool:
         """Take in a word; True if it tells of a change between slow and well."""
         was_slow, is_slow = self.last >= SLOW, factor >= SLOW
         self.last, self.at = factor, now
+        if is_slow:
+            self.slow = factor
         self.mean += MEAN_WEIGHT * (factor - self.mean)
         if is_slow and self._slow_since is None:
             self._slow_since = now
@@ -65,6 +72,10 @@
         """Return the factor to expect of work that starts now."""
         return expected_slowdown(self.last, self.mean, now - self.at, self.spell_s)
 
+    def unsure(self, now: float) -> bool:
+        """Tell whether the last word is so old that asking is worth more than it costs."""
+        return now - self.at > self.spell_s * UNSURE_SHARE
+
     def surely_slow(self, now: float) -> bool:
         """Tell whether the last word was slow and is too new for the spell to have ended."""
         return self.last >= SLOW and now - self.at < self.spell_s / 2
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -22,7 +22,7 @@
 """The instance is on the same host: a longer wait means that its accept queue is full."""
 IDLE_LIMIT_S = 8.0
 """How long a connection is kept if the instance does not say."""
-IDLE_MARGIN = 0.5
+IDLE_MARGIN = 0.8
 """Share of the idle time that the instance announces within which a connection is used."""
 UNSAFE_IDLE_S = 1.0
 """A request that may run once goes on a connection only if this was in use so recently."""
