The accepting side of links is a module; a busy answer of an order that ran is no promise

An instance that answers 503 after it ran an order, without the word that it did not run, would have been passed on, and callers send such an order again.

Ruled out: trusting the status (it is a promise towards callers only with that word).

Change: linkserver.py; statuses that promise are answered 502 for requests that may run once.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -28,6 +28,8 @@
 CRASH_CHECK_S = 0.05
 """Time after a broken connection at which the instance is looked at: one that crashed is down."""
 MISDIRECTED = 421
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses after which callers send a request again whatever it is."""
 
 KIND_BY_VERDICT = {
     Verdict.CLOSED: ErrorKind.NO_INSTANCE,
@@ -229,6 +231,11 @@
             detail = "the answer bears no request id or signature"
             self._refuse(work, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, detail)
             return
+        if answer.status in PROMISING_STATUSES and not work.frame.idempotent:
+            # A caller would take it for a promise that the instance did not give.
+            detail = f"status {answer.status} without the word that it did not run"
+            self._refuse(work, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, detail)
+            return
         head = pack(forwarded(answer.headers, self._answer_dropped))
         frame = InstanceAnswer(
             work.frame.number,
--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 
 from peridottrack.frames import DocumentFrame, Frame, GateLoad, Hello, WantDocument
-from peridottrack.link import GateRoute, Link, LinkHooks, LinkServer, LocalRoute
+from peridottrack.link import GateRoute, Link, LinkHooks, LocalRoute
+from peridottrack.linkserver import LinkServer
 from peridottrack.messages import MemberUpdate
 from peridottrack.types import Clock, NodeId, ServiceName
 
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -26,7 +26,8 @@
 from peridottrack.forward import Forwarder
 from peridottrack.frames import DocumentFrame, Hello
 from peridottrack.ingress import Ingress
-from peridottrack.link import LinkHooks, LinkServer, LocalRoute
+from peridottrack.link import LinkHooks, LocalRoute
+from peridottrack.linkserver import LinkServer
 from peridottrack.messages import Crash, MemberState, MemberUpdate, Message
 from peridottrack.metrics import Metrics
 from peridottrack.placement import Placement
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -133,6 +133,35 @@
     assert runs(world) == 1
 
 
+async def test_busy_answer_of_an_order_that_ran_is_no_promise(world):
+    for host in world.hosts:
+        host.instance.script.busy_after_run = 1
+    status, _, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, "Response-Signature" in headers) == (502, False)
+    assert runs(world) == 1
+
+
+async def test_in_doubt_a_gate_asks_its_instance(world):
+    """The first host's word is old and it has turned slow: the other one gets the request."""
+    first, second = world.hosts
+    only_beside(world, 0)
+    first.instance.script.load = "1,0,18,500"
+    for _ in range(2):
+        await world.call(first)
+    first.instance.script.load = "1,0,18,100"
+    await world.call(first)
+    await second.announce(world.session, born=5_000)
+    await until(lambda: sum(route.load.open for route in routes(first)) == 2)
+    first.instance.script.load = "1,0,18,500"
+    first.node.forwarder._run_s_by_route["read"] = 0.2
+    first.node.gate.gate.run_s = lambda route: 0.2
+    before = len(second.instance.runs)
+    await asyncio.sleep(0.3)
+    for _ in range(4):
+        await world.call(first)
+    assert len(second.instance.runs) - before == 4
+
+
 async def test_wrong_instance_at_the_address_closes_the_gate(world):
     only_beside(world, 0)
     world.hosts[0].instance.script.misdirect = 1
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -157,6 +157,7 @@
     unsigned: int = 0
     misdirect: int = 0
     fail: int = 0
+    busy_after_run: int = 0
     no_id: int = 0
     work_s: float = 0.0
     healthy: bool = True
@@ -280,6 +281,8 @@
             self._write(200, request_id, body, signed=False)
         elif once("no_id"):
             self._write(200, b"", body)
+        elif once("busy_after_run"):
+            self._write(503, request_id, b"busy")
         elif once("fail"):
             self._write(500, request_id, b"failed")
         else:
