--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -203,10 +203,10 @@
     return read_settings(path.read_text(encoding="utf-8"), str(path))
 
 
-def settings_reference() -> str:
+def settings_reference(model: type[BaseModel] = Settings) -> str:
     """Return the settings reference, a Markdown table made from the fields."""
     lines = ["| setting | default | meaning |", "|---|---|---|"]
-    for name, field in Settings.model_fields.items():
+    for name, field in model.model_fields.items():
         default = "required" if field.is_required() else f"`{field.default!r}`"
         lines.append(f"| `{name}` | {default} | {field.description} |")
     return "\n".join(lines) + "\n"
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,7 +10,12 @@
 from click.testing import CliRunner
 
 from peridottrack.cmdline import cli, main
-from peridottrack.config import read_settings, settings_reference
+from peridottrack.config import (
+    MeshSettings,
+    read_mesh_settings,
+    read_settings,
+    settings_reference,
+)
 from peridottrack.document import parse_section
 from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran, problem
 from peridottrack.exceptions import SettingsFaulty
@@ -33,6 +38,20 @@
 
 def test_settings_reference_is_generated():
     assert settings_reference() in OPERATORS
+    assert settings_reference(MeshSettings) in (ROOT / "docs/OPERATIONS.md").read_text()
+
+
+def test_settings_made_from_the_deployments_template_are_valid():
+    text = (ROOT / "deploy/node.json").read_text()
+    given = {"listen_addrs.": "10.0.0.1:1", "port_range.": "7600", "ip": "10.0.0.1"}
+    given |= {"bounds.budget_ratio": "0.2", "bounds.": "6"}
+    given |= {"app_addr": "10.0.0.1:2", "platform.address": "10.0.0.2:3"}
+
+    def fill(found):
+        return next((value for key, value in given.items() if found[1].startswith(key)), "name")
+
+    settings = read_mesh_settings(re.sub(r"{{([a-z_.0-9]+)}}", fill, text), "node.json")
+    assert settings.shutdown_s == 6
 
 
 def test_metrics_reference_names_each_and_no_other():
