Only runs teach run times

Cause: an answer that turned a request away, or failed at once, counted as a run of a millisecond, so that forecasts of the gate fell where instances shed much of their work.

Ruled out: the average's weight (a stretch of refusals moves any average).

Change: run times and the knee are learnt from answers below status 500 that the instance ran; dead names removed.

Figures: the new test fails before the change.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -28,6 +28,8 @@
 CRASH_CHECK_S = 0.05
 """Time after a broken connection at which the instance is looked at: one that crashed is down."""
 MISDIRECTED = 421
+FAILING_STATUS = 500
+"""Statuses from here on come sooner or later than a run takes."""
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses after which callers send a request again whatever it is."""
 
@@ -95,9 +97,6 @@
         self._checks: set[asyncio.Task[None]] = set()
         self.crashed: Callable[[str, InstanceId], object] = lambda mark, instance: None
         self._id_name = dialect.request_id.encode()
-        self._own_names = frozenset(
-            name.encode() for name in (dialect.target, dialect.deadline_ms, "content-length")
-        )
         self._answer_dropped = frozenset((b"content-length", dialect.load.encode()))
 
     def start(
@@ -160,8 +159,7 @@
         try:
             async with asyncio.timeout_at(work.deadline + DEADLINE_SLACK_S):
                 answer = await self._exchange(work)
-            ran = True
-            self._pass_on(work, answer)
+            ran = self._pass_on(work, answer)
         except NotConnected as error:
             self._note_refused_connection()
             self._refuse(work, ErrorKind.UPSTREAM_UNREACHABLE, Ran.NO, str(error))
@@ -211,7 +209,8 @@
         line = b"%b %b HTTP/1.1\r\n" % (frame.method.encode(), frame.path)
         return b"".join((line, frame.head, pack(own), b"\r\n", frame.body))
 
-    def _pass_on(self, work: _Work, answer: UpstreamAnswer) -> None:
+    def _pass_on(self, work: _Work, answer: UpstreamAnswer) -> bool:
+        """Reply with an answer or with why it is none; tell whether it shows how long runs take."""
         said = value_of(answer.headers, self._dialect.load.encode())
         figures = read_load(said.decode("latin-1")) if said is not None else None
         if figures is not None:
@@ -222,20 +221,20 @@
             if answer.status == MISDIRECTED:
                 self.gate.close()
                 self._refuse(work, ErrorKind.NO_INSTANCE, Ran.NO, "another instance is there")
-                return
+                return False
             if value_of(answer.headers, self._dialect.not_run.encode()) is not None:
                 self._refuse(work, ErrorKind.UPSTREAM_SHED, Ran.NO, f"status {answer.status}")
-                return
+                return False
         signed = value_of(answer.headers, self._dialect.signature.encode()) is not None
         if not echoed or (200 <= answer.status < 300 and not signed):
             detail = "the answer bears no request id or signature"
             self._refuse(work, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, detail)
-            return
+            return False
         if answer.status in PROMISING_STATUSES and not work.frame.idempotent:
             # A caller would take it for a promise that the instance did not give.
             detail = f"status {answer.status} without the word that it did not run"
             self._refuse(work, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, detail)
-            return
+            return False
         head = pack(forwarded(answer.headers, self._answer_dropped))
         frame = InstanceAnswer(
             work.frame.number,
@@ -246,6 +245,7 @@
             self.gate.run_time_s(work.ticket),
         )
         work.reply(frame)
+        return answer.status < FAILING_STATUS
 
     def _refuse(self, work: _Work, kind: ErrorKind, ran: Ran, why: str) -> None:
         wait_s = self.gate.forecast_s(work.ticket) if kind is not ErrorKind.NO_INSTANCE else 0.0
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -141,6 +141,19 @@
     assert runs(world) == 1
 
 
+async def test_answers_that_are_no_runs_teach_no_run_times(world):
+    only_beside(world, 0)
+    first = world.hosts[0]
+    first.instance.script.work_s = 0.1
+    for _ in range(3):
+        await world.call(first)
+    learnt_s = first.node.gate.gate.run_s("read")
+    first.instance.script.shed = 20
+    for _ in range(10):
+        await world.call(first)
+    assert first.node.gate.gate.run_s("read") == pytest.approx(learnt_s)
+
+
 async def test_in_doubt_a_gate_asks_its_instance(world):
     """The first host's word is old and it has turned slow: the other one gets the request."""
     first, second = world.hosts
