A changed settings file is noticed without a signal and its limits are taken over

Cause: SIGHUP was logged only, and a change without a signal was never seen.

Ruled out: taking over addresses or names while running (the platform starts a process anew for them).

Change: the file is looked at on SIGHUP and every two seconds; limits of second sends, of probes and of the shutdown are taken over, the log names what waits for the next start; a faulty file changes nothing.

--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -385,28 +385,22 @@
 
 
 async def _run_mesh(settings: MeshSettings, path: Path) -> bool:
+    from peridottrack.controllers.reload import ReloadController
     from peridottrack.mesh import MeshNode
     from peridottrack.platform import ADAPTER
 
     running = MeshNode(settings, ADAPTER)
     stop = _stop_event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _note_changed_settings, path)
+    reload = ReloadController(path, settings, running.apply)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload.look)
     await running.start()
     quieten_garbage_collection()
+    looking = asyncio.create_task(reload.run())
     await stop.wait()
+    looking.cancel()
     return await running.leave()
 
 
-def _note_changed_settings(path: Path) -> None:
-    """Check changed settings; all of them are read at start, so they wait for the next one."""
-    try:
-        read_mesh_settings(path.read_text(encoding="utf-8"), str(path))
-    except (Faulty, OSError) as error:
-        log.warning("changed settings are faulty, the old ones stay", error=str(error))
-        return
-    log.event("settings changed, in force from the next start", path=str(path))
-
-
 async def _run_platform(listen: str) -> None:
     from peridottrack.standin.platform import serve_platform
 
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -68,6 +68,10 @@
         self._instance_name = dialect.instance_id.encode()
         self._load_name = dialect.load.encode()
 
+    def set_limit(self, per_s: float) -> None:
+        """Take over another limit."""
+        self._per_s = per_s
+
     async def ask_soon(self) -> Health | None:
         """Ask, or wait for the answer to a question that is on its way; None beyond the budget."""
         if self._asking is None or self._asking.done():
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -55,11 +55,12 @@
         "The shutdown is over.",
         {"idle": "whether all work was done in time", "took_s": "seconds since SIGTERM"},
     ),
-    "settings changed, in force from the next start": Event(
-        "SIGHUP came and the file is valid.", {"path": "settings file"}
+    "settings changed": Event(
+        "The settings file differs and is valid.",
+        {"now": "settings taken over", "at_start": "settings that wait for the next start"},
     ),
     "changed settings are faulty, the old ones stay": Event(
-        "SIGHUP came and the file is not valid.", {"error": "the faults"}
+        "The settings file differs and is not valid.", {"error": "the faults"}
     ),
     "document in force": Event(
         "A newer document was taken in.",
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -147,6 +147,11 @@
             [(dialect.caller_service.title().encode(), caller_service.encode())]
         )
 
+    def set_second_limits(self, ratio: float, slack: float, window_s: float) -> None:
+        """Take over other limits of second sends."""
+        for seconds in self._seconds_by_service.values():
+            seconds.set_limits(ratio, slack, window_s)
+
     async def handle(self, request: CallerRequest) -> WholeAnswer:
         """Answer one request; never raises."""
         try:
@@ -220,7 +225,7 @@
     # -- the way -----------------------------------------------------------------------
 
     async def _travel(self, journey: _Journey) -> WholeAnswer:
-        seconds = self._seconds(journey.service)
+        seconds = self.seconds_of(journey.service)
         called = False
         for _ in range(MAX_SENDS):
             choice = self._choose(journey)
@@ -320,7 +325,7 @@
         choice = self._choose(journey)
         if choice is None or choice.load.slowdown >= SLOW:
             return None
-        if not self._seconds(journey.service).take():
+        if not self.seconds_of(journey.service).take():
             return None
         self._log_again(journey, choice.load.instance, "hurry")
         frame = self._frame(journey, choice.load.instance, self._clock.now(), False)
@@ -476,7 +481,8 @@
         pairs = [(key.encode(), value.encode()) for key, value in headers.items()]
         return WholeAnswer(made.status, pairs, made.body)
 
-    def _seconds(self, service: ServiceName) -> SecondSends:
+    def seconds_of(self, service: ServiceName) -> SecondSends:
+        """Return the budget of second sends to a service."""
         found = self._seconds_by_service.get(service)
         if found is None:
             found = self._seconds_by_service[service] = self._seconds_for()
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -133,6 +133,14 @@
         self._spawn(self.follow.run())
         log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
 
+    def apply(self, settings: MeshSettings) -> None:
+        """Take over settings that may change while the node runs."""
+        self.settings = settings
+        self.prober.set_limit(settings.probes_per_s)
+        self.forwarder.set_second_limits(
+            settings.second_ratio, settings.second_slack, settings.second_window_s
+        )
+
     async def leave(self) -> bool:
         """Shut down without harm; False if the time allowed was not enough."""
         started_at = self._clock.now()
--- a/peridottrack/seconds.py
+++ b/peridottrack/seconds.py
@@ -33,6 +33,10 @@
         self._second_at: deque[float] = deque()
         self.nodes = 1
 
+    def set_limits(self, ratio: float, slack: float, window_s: float) -> None:
+        """Take over other limits; what was sent already counts on."""
+        self._ratio, self._slack, self._window_s = ratio, slack, window_s
+
     def called(self) -> None:
         """Note a first send."""
         self._first_at.append(self._clock.now())
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,105 @@
+"""A settings file that changes under a running node."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+import pytest
+from mesh_world import READY, World, fresh_ip, mesh_settings
+
+from peridottrack.controllers.reload import ReloadController
+from peridottrack.seconds import SPENT_SHARE
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / "node.json"
+
+    def write(**changes):
+        made = mesh_settings("127.0.0.1", "127.0.0.1:9", store_url="http://127.0.0.1:9", **changes)
+        path.write_text(json.dumps(made.model_dump()))
+        return made
+
+    write.path = path
+    return write
+
+
+def test_changed_values_are_taken_over_and_the_rest_waits(file):
+    applied = []
+    reload = ReloadController(file.path, file(), applied.append)
+    reload.look()
+    assert applied == []
+    file(second_slack=7, service="other")
+    reload.look()
+    reload.look()
+    assert [(one.second_slack, one.service) for one in applied] == [(7, "katalog")]
+
+
+@pytest.mark.parametrize("text", ["", "{", "[" * 5_000, '{"second_slack": -1}', "\udcff"])
+def test_faulty_file_changes_nothing(file, text):
+    applied = []
+    reload = ReloadController(file.path, file(), applied.append)
+    file.path.write_bytes(text.encode("utf-8", "surrogateescape"))
+    reload.look()
+    file.path.unlink()
+    reload.look()
+    assert applied == []
+    file(second_ratio=0.1)
+    reload.look()
+    assert [one.second_ratio for one in applied] == [0.1]
+
+
+async def test_node_heeds_new_limits_at_once():
+    world = World()
+    await world.start(1)
+    node = world.hosts[0].node
+    await world.call(world.hosts[0])
+    budget = node.forwarder.seconds_of("katalog")
+    while budget.take():
+        pass
+    node.apply(node.settings.model_copy(update={"second_slack": 1_000, "shutdown_s": 9.0}))
+    assert sum(budget.take() for _ in range(1_000)) > 0.9 * SPENT_SHARE * 1_000 - 60
+    assert node.settings.shutdown_s == 9.0
+    await world.stop()
+
+
+async def test_process_lives_through_sighup_and_ends_in_order_on_sigterm(tmp_path):
+    world = World()
+    await world.start(0)
+    path = tmp_path / "node.json"
+    ip = fresh_ip()
+    made = mesh_settings(ip, "127.0.0.1:9", store_url=world.store.url)
+    path.write_text(json.dumps(made.model_dump()))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "peridottrack", "mesh", "--settings", str(path)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+    async def ready() -> int:
+        try:
+            async with world.session.get(f"http://{ip}:{READY}/v1/readyz") as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            return 0
+
+    async with asyncio.timeout(20):
+        while await ready() != 200:
+            await asyncio.sleep(0.05)
+        path.write_text(json.dumps({**made.model_dump(), "second_slack": 5}))
+        process.send_signal(signal.SIGHUP)
+        lines = b""
+        while b'"settings changed"' not in lines:
+            lines += await process.stdout.readline()
+        assert await ready() == 200
+        process.send_signal(signal.SIGTERM)
+        while await ready() == 200:
+            await asyncio.sleep(0.02)
+        assert await ready() == 503
+        rest = await process.stdout.read()
+        assert await process.wait() == 0
+    assert b'"node left"' in rest
+    await world.stop()
