Nodes that answer no more do not count as following the store

Ruled out: the store (it served the other twelve), the spread (0.06 s from the first reader to all), lost history (read anew when it was found).

Change: who follows is drawn from the members whose links answer (a silent link is known after at most 1.5 s); four follow instead of three, since three can lose the store in silence at once.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -16,8 +16,8 @@
 from peridottrack.sources import DocumentReader, DocumentSource
 from peridottrack.types import Clock, NodeId, Random
 
-WATCHERS = 3
-"""Nodes that follow the store: two may be cut off from it at once."""
+WATCHERS = 4
+"""Nodes that follow the store: three may be cut off from it in silence at once."""
 AWAY_PAUSE_S = 1.0
 """Pause of a node that asks a store that is away; only `WATCHERS` nodes ask."""
 FIRST_READ_S = 1.2
@@ -45,7 +45,7 @@
     Parameters
     ----------
     present
-        Returns the members that are not gone, this node included.
+        Returns the members that answer this node, itself included.
     set_away
         Told whether the store answers.
     in_force
--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -64,6 +64,11 @@
                 link.wake()
             self._incarnation_by_node[node] = update.incarnation
 
+    def answers(self, node: NodeId) -> bool:
+        """Tell whether a node answered lately; known long before it counts as gone."""
+        link = self._link_by_node.get(node)
+        return link is not None and link.usable
+
     def routes_of(self, service: ServiceName) -> list[GateRoute]:
         """Return the ways to the gates of a service."""
         routes: list[GateRoute] = []
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -47,6 +47,8 @@
 """Time for connections that were opened before the last of these answers."""
 CLOSE_MARGIN_S = 0.4
 """Time before the end of a shutdown that is left for closing connections."""
+LINKS_UP_S = 3.0
+"""Time after a start in which links may still come up: a silent one tells nothing yet."""
 RUNNER_CLOSE_S = 0.05
 """How long a closing listener waits for calls of the platform that are not answered yet."""
 GATE_CLOSE_S = 3.0
@@ -113,9 +115,11 @@
         self._leaving = False
         self._unready_answers = 0
         self._unready_at = 0.0
+        self._started_at = 0.0
 
     async def start(self) -> None:
         """Begin to listen, then find the others."""
+        self._started_at = self._clock.now()
         self._build()
         gossip = parse_endpoint(self.settings.gossip_address)
         await self.datagrams.start(gossip.host, gossip.port)
@@ -228,7 +232,7 @@
             me.node,
             source,
             self._adapter.document_reader(),
-            self.members.membership.present,
+            self._answering_members,
             self.members.set_store_away,
             self._take_document,
             clock,
@@ -290,6 +294,14 @@
 
     # -- news --------------------------------------------------------------------------
 
+    def _answering_members(self) -> list[MemberUpdate]:
+        """Return the members that can pass a document on; at the start all that are known."""
+        present = self.members.membership.present()
+        if self._clock.now() - self._started_at < LINKS_UP_S:
+            return present
+        me = self.members.membership.me.node
+        return [one for one in present if one.node == me or self.links.answers(one.node)]
+
     def _take_members(self, reachable: Reachable) -> None:
         self.forwarder.nodes = reachable.nodes
         self.links.set_members(self.members.membership.present())
