--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -404,3 +404,14 @@
         state = await answer.json()
     assert state["document"]["version"] == 7
     assert len(state["links"]) == 1
+
+
+async def test_node_that_fell_silent_no_longer_counts_as_following_the_store(world):
+    first, second = world.hosts
+    first.node._started_at = float("-inf")
+    both = {host.node.members.membership.me.node for host in world.hosts}
+    assert set(first.node.follow.dump()["watchers"]) == both
+    for connection in second.node.link_server.connections:
+        connection.write = lambda data: 0
+    await until(lambda: len(first.node.follow.dump()["watchers"]) == 1)
+    assert len(first.node.members.membership.present()) == 2
