A late word does not undo the goodbye of an instance that was met by its health

Ruled out: the shutdown and the links (the gate had closed at the goodbye, in the log).

Change: while the birth of the life that left is not known, only a word whose number begins anew opens the gate.

--- a/peridottrack/controllers/beside.py
+++ b/peridottrack/controllers/beside.py
@@ -9,6 +9,11 @@
 from peridottrack.gate import Gate
 from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
 
+UNKNOWN_BIRTH = 0
+"""Birth of an instance that has not announced itself: its first word is newer."""
+FIRST_WORDS = 1
+"""Highest number of a word with which a life may begin."""
+
 
 @dataclass(frozen=True, slots=True)
 class InstanceReport:
@@ -72,19 +77,29 @@
         if last is not None and _older(report, last):
             log.event("stale report", instance=report.instance, sequence=report.sequence)
             return Heard.STALE
+        if self._is_left(report):
+            return Heard.STALE
         self._last = report
         self.heard_at = self._clock.now()
         if report.state is InstanceState.DRAINING:
             self._note_left(report.instance, report.born)
-        elif self._left_ids.get(report.instance) == report.born:
-            # An instance that has said that it leaves does not come back in the same life.
-            return Heard.STALE
         else:
             self._gate.open(
                 report.instance, report.service, report.slots, max(0.0, report.warm_in_s)
             )
         return Heard.TAKEN
 
+    def _is_left(self, report: InstanceReport) -> bool:
+        """Tell whether a ready word comes from a life that has said that it leaves.
+
+        If that life was met by its health its birth is not known: then only one whose numbers begin
+        anew is another.
+        """
+        born = self._left_ids.get(report.instance)
+        if born is None or report.state is InstanceState.DRAINING:
+            return False
+        return born == report.born or (born == UNKNOWN_BIRTH and report.sequence > FIRST_WORDS)
+
     def leave(self, instance: InstanceId) -> None:
         """Take in that an instance has said goodbye."""
         last = self._last
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from peridottrack import log
-from peridottrack.controllers.beside import BesideController, Heard, InstanceReport
+from peridottrack.controllers.beside import UNKNOWN_BIRTH, BesideController, Heard, InstanceReport
 from peridottrack.dialect import Dialect, LoadFigures, read_load
 from peridottrack.exceptions import BrokeOff, NotConnected
 from peridottrack.headerblock import value_of
@@ -19,8 +19,6 @@
 SOON_S = 0.03
 """How long a request is held for an answer: longer than an answer takes, short beside a run."""
 HEALTHY = 200
-UNKNOWN_BIRTH = 0
-"""Birth of an instance that has not announced itself: its first word is newer."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -426,3 +426,14 @@
     world.store.put("op", "config", document_bytes(version=9))
     world.store.silent = False
     await until(lambda: all(host.node.follow.version == 9 for host in world.hosts))
+
+
+async def test_late_word_of_an_instance_met_by_its_health_does_not_undo_its_goodbye(world):
+    host = world.hosts[0]
+    await restart(host)
+    await until(lambda: host.node.gate.gate.is_open)
+    await host.deregister(world.session)
+    assert await host.announce(world.session, "ready", sequence=9, born=4_000) == 200
+    assert not host.node.gate.gate.is_open
+    assert await host.announce(world.session, "ready", sequence=1, born=5_000) == 200
+    assert host.node.gate.gate.is_open
