Fields of answered and late requests are declared once

Change: one table of fields. Ruled out: a change of lines or of docs/EVENTS.md (test_explain compares).

--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -42,6 +42,17 @@
     "slowdown_age_s": "seconds since it said so",
 }
 
+_ANSWERED = {
+    **_REQUEST,
+    "route": "name of the route",
+    "service": "service that it was sent to",
+    "status": "status of the answer",
+    "took_s": "seconds since its first byte was read",
+    "target_s": "seconds within which it should have been answered",
+    "sent_to": "instances that may have run it, in order",
+    "refused_by": "instances whose gates did not run it",
+}
+
 EVENT_BY_NAME: dict[str, Event] = {
     "node started": Event(
         "The node listens on all its addresses.",
@@ -149,30 +160,12 @@
     ),
     "request answered": Event(
         "A request was answered by an instance.",
-        {
-            **_REQUEST,
-            "route": "name of the route",
-            "service": "service that it was sent to",
-            "status": "status of the answer",
-            "took_s": "seconds since its first byte was read",
-            "target_s": "seconds within which it should have been answered",
-            "sent_to": "instances that may have run it, in order",
-            "refused_by": "instances whose gates did not run it",
-        },
+        _ANSWERED,
         Flow.SAMPLED,
     ),
     "request late": Event(
         "The same, after the route's target.",
-        {
-            **_REQUEST,
-            "route": "name of the route",
-            "service": "service that it was sent to",
-            "status": "status of the answer",
-            "took_s": "seconds since its first byte was read",
-            "target_s": "seconds within which it should have been answered",
-            "sent_to": "instances that may have run it, in order",
-            "refused_by": "instances whose gates did not run it",
-        },
+        _ANSWERED,
         Flow.LIMITED,
     ),
     "request given up": Event(
