A fault soak: real nodes, faults from outside, promises checked

Cause: the promises were shown by tests of one failure each and by the users' bench; nothing of ours played failures that overlap against real processes. A node may advertise another link address than it listens on, which the proxies need. Ruled out: a proxy for each pair of nodes, since a listener cannot tell its peers apart before the first frame.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,11 @@
 PY := .venv/bin/python
 DEPLOYMENT ?= buzulip
 STEPS ?= 200000
+SEEDS ?= 5
+SECONDS ?= 20
+HOSTS ?= 5
 
-.PHONY: help setup demo test lint format pins dist soak-claims counts capacity bench-hop bench-choice bench-claims bench-members
+.PHONY: help setup demo test lint format pins dist soak-claims soak soak-checks counts capacity bench-hop bench-choice bench-claims bench-members
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F ':.*## ' '{printf "  make %-14s %s\n", $$1, $$2}'
@@ -42,6 +45,12 @@
 soak-claims: setup ## Run the claim state machine longer (STEPS=number of fault steps)
 	PERIDOTTRACK_CLAIM_STEPS=$(STEPS) $(PY) -m pytest tests/test_claim_machine.py
 
+soak: setup ## Play the fault soak (SEEDS, SECONDS, HOSTS; SEED=the first one)
+	cd tests && ../$(PY) -m soak --seeds $(SEEDS) --seconds $(SECONDS) --hosts $(HOSTS) $(if $(SEED),--seed $(SEED) --seeds 1)
+
+soak-checks: setup ## Check that the soak finds each broken node
+	cd tests && for name in $$(../$(PY) -m soak.broken --list); do ../$(PY) -m soak --quiet --seeds 5 --seed 1 --hosts 4 --seconds 10 --broken $$name || exit 1; done
+
 counts: setup ## Count code, tests and the share of the decision logic
 	$(PY) -m bench.counts
 
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -130,6 +130,9 @@
 
     callers_address: EndpointText = Field(description="Where callers connect (HTTP).")
     link_address: EndpointText = Field(description="Where other nodes connect (TCP).")
+    advertised_link_address: EndpointText | None = Field(
+        None, description="What other nodes are told to connect to, if it is not link_address."
+    )
     ready_address: EndpointText = Field(description="Answers whether the node is ready (HTTP).")
     announce_address: EndpointText = Field(description="The instance announces itself (HTTP).")
     gossip_address: EndpointText = Field(description="Datagrams between nodes (UDP).")
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -271,7 +271,7 @@
             NodeId(self.settings.gossip_address),
             int(self._clock.wall() * 1000),
             MemberState.ALIVE,
-            parse_endpoint(self.settings.link_address),
+            parse_endpoint(self.settings.advertised_link_address or self.settings.link_address),
             FailureDomain(self.settings.failure_domain),
             Region(self.settings.region),
         )
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak: real nodes as processes, faults from outside, promises checked all the while."""
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -98,12 +99,15 @@
     def forget_history(self) -> None:
         self.oldest = self.ver + 1
 
-    async def _answer(self, call: str, data: Any, status: int = 200) -> web.Response:
+    async def _answer(
+        self, request: web.Request, call: str, data: Any, status: int = 200
+    ) -> web.Response:
         self.calls.append(call)
         if self.status != 200:
             return web.json_response({}, status=self.status)
         if self.lose_answers:
-            raise ConnectionResetError
+            assert request.transport is not None
+            request.transport.abort()
         return web.json_response(data, status=status)
 
     async def _get(self, request: web.Request) -> web.Response:
@@ -112,14 +116,14 @@
         rows = [row for row in rows if row["key"] >= start]
         page, truncated = rows[:2], len(rows) > 2
         data = {"rows": page, "truncated": truncated, "ver": self.ver, "now_s": 1.0}
-        return await self._answer(f"get {table}", data)
+        return await self._answer(request, f"get {table}", data)
 
     async def _feed(self, request: web.Request) -> web.Response:
         table, after = request.query["table"], int(request.query["after"])
         if self.silent:
             await asyncio.sleep(3600)
         if after < self.oldest:
-            return await self._answer("feed", {}, 410)
+            return await self._answer(request, "feed", {}, 410)
         changed = self._changed
         if not self._newer(table, after) and self.status == 200:
             try:
@@ -128,7 +132,7 @@
             except TimeoutError:
                 pass
         rows = self._newer(table, after)
-        return await self._answer("feed", {"rows": rows, "ver": self.ver, "now_s": 1.0})
+        return await self._answer(request, "feed", {"rows": rows, "ver": self.ver, "now_s": 1.0})
 
     def _newer(self, table: str, after: int) -> list[dict[str, Any]]:
         return [
@@ -142,7 +146,7 @@
                 self.put(row["table"], row["key"], base64.b64decode(row["value"]))
             for row in body["remove"]:
                 self.rows.pop((row["table"], "", row["key"]), None)
-        return await self._answer("tx", {"ver": self.ver, "now_s": 1.0})
+        return await self._answer(request, "tx", {"ver": self.ver, "now_s": 1.0})
 
 
 @dataclass
@@ -177,6 +181,8 @@
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    instance: str = ""
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -184,6 +190,7 @@
     """An instance that speaks as the users' pages say."""
 
     name: str = "i-1"
+    checks_target: bool = False
     script: Script = field(default_factory=Script)
     runs: list[Run] = field(default_factory=list)
     dropped: int = 0
@@ -254,6 +261,12 @@
         if once("misdirect"):
             self._write(421, b"", b"", b"Instance-Id: i-other\r\n")
             return
+        name = self._instance.name.encode()
+        if self._instance.checks_target and run.headers.get(b"target-instance") != name:
+            self._write(421, b"", b"", b"Instance-Id: %b\r\n" % name)
+            return
+        run.instance = self._instance.name
+        run.at = time.monotonic()
         self._instance.runs.append(run)
         if script.crash_path and run.target == script.crash_path:
             await self._instance.stop()
