Requests do not start in slow spells that began while they waited

And after two gates that passed it back a request ran wherever it came to. Ruled out: old news alone (well words younger than 40 ms were wrong in 3 of 100), probes beyond their budget (2.3 a second and instance were asked of 20). Change: the check is made again at a request's turn; no answer within 2.5 times the usual time counts as slow; late answers are heard; up to four gates may pass a request back.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from peridottrack import log
-from peridottrack.controllers.probe import Prober
+from peridottrack.controllers.probe import Prober, Unheard
 from peridottrack.dialect import Dialect, read_load
 from peridottrack.errors import ErrorKind, Ran
 from peridottrack.exceptions import BrokeOff, NotConnected
@@ -150,9 +150,7 @@
             or now + slow_run_s < ticket.target_at
         ):
             return
-        health = await self.prober.ask_soon()
-        if health is not None and health.figures is not None:
-            gate.hear_load(health.figures)
+        ticket.host_silent = await self.prober.ask_soon() is Unheard.SILENT
 
     async def _run(self, work: _Work) -> None:
         ran = False
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -5,22 +5,38 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from peridottrack import log
 from peridottrack.controllers.beside import UNKNOWN_BIRTH, BesideController, Heard, InstanceReport
 from peridottrack.dialect import Dialect, LoadFigures, read_load
 from peridottrack.exceptions import BrokeOff, NotConnected
 from peridottrack.headerblock import value_of
+from peridottrack.spells import SLOW
 from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
 from peridottrack.upstream import ConnectionPool
 
 PROBE_TIMEOUT_S = 0.5
 """How long an answer is waited for: an instance that is slow to say how it is, is not well."""
 SOON_S = 0.03
-"""How long a request is held for an answer: longer than an answer takes, short beside a run."""
+"""How long a request is held for an answer at most: short beside a run."""
+SILENT_FACTOR = 2.5
+"""Factor over the usual time of an answer from which no answer tells that the host is slow."""
+LEAST_PATIENCE_S = 0.005
+"""Shorter waits would take a pause of this process for a slow host."""
+USUAL_WEIGHT = 0.1
+"""Weight of one answer in the moving usual time."""
 HEALTHY = 200
 
 
+class Unheard(Enum):
+    """Why there is no answer."""
+
+    NOT_ASKED = "beyond the budget"
+    SILENT = "no answer in time"
+    FAILED = "no connection or a broken answer"
+
+
 @dataclass(frozen=True, slots=True)
 class Health:
     """What an instance answers when it is asked.
@@ -45,6 +61,11 @@
         Returns the path to ask at, None while it is not known.
     per_s
         Questions a second at most, on average.
+
+    Attributes
+    ----------
+    heard
+        Called with the load figures of each answer, also of one that comes late.
     """
 
     def __init__(
@@ -62,6 +83,8 @@
         self._earned_at = clock.now()
         self._asking: asyncio.Task[Health | None] | None = None
         self._path = path
+        self._usual_s = SOON_S
+        self.heard: Callable[[LoadFigures], None] = lambda figures: None
         self._id_name = dialect.request_id.encode()
         self._instance_name = dialect.instance_id.encode()
         self._load_name = dialect.load.encode()
@@ -70,15 +93,22 @@
         """Take over another limit."""
         self._per_s = per_s
 
-    async def ask_soon(self) -> Health | None:
-        """Ask, or wait for the answer to a question that is on its way; None beyond the budget."""
+    async def ask_soon(self) -> Health | Unheard:
+        """Ask, or wait for the answer to a question that is on its way.
+
+        Answers the pattern of hosts that are slow to say that they are slow: an answer takes as
+        many times longer than usual as any other work there.
+        """
         if self._asking is None or self._asking.done():
             if not self._take():
-                return None
+                return Unheard.NOT_ASKED
             self._asking = asyncio.create_task(self.ask())
+        patience_s = min(SOON_S, max(LEAST_PATIENCE_S, SILENT_FACTOR * self._usual_s))
         # Others wait for the same answer, so one that gives up must not end the question.
-        done, _ = await asyncio.wait((self._asking,), timeout=SOON_S)
-        return next(iter(done)).result() if done else None
+        done, _ = await asyncio.wait((self._asking,), timeout=patience_s)
+        if not done:
+            return Unheard.SILENT
+        return next(iter(done)).result() or Unheard.FAILED
 
     def _take(self) -> bool:
         now = self._clock.now()
@@ -95,6 +125,7 @@
         if path is None:
             return None
         request = f"GET {path} HTTP/1.1\r\nHost: health\r\n\r\n".encode()
+        asked_at = self._clock.now()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection = await self._pool.acquire(once=False)
@@ -106,12 +137,13 @@
             log.event("probe failed", error=repr(error))
             return None
         said = value_of(answer.headers, self._load_name)
+        figures = read_load(said.decode("latin-1")) if said is not None else None
+        if figures is not None:
+            if figures.slowdown < SLOW:
+                self._usual_s += USUAL_WEIGHT * (self._clock.now() - asked_at - self._usual_s)
+            self.heard(figures)
         name = value_of(answer.headers, self._instance_name) or b""
-        return Health(
-            answer.status == HEALTHY,
-            InstanceId(name.decode("latin-1")),
-            read_load(said.decode("latin-1")) if said is not None else None,
-        )
+        return Health(answer.status == HEALTHY, InstanceId(name.decode("latin-1")), figures)
 
 
 async def meet(prober: Prober, beside: BesideController, service: ServiceName) -> None:
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -27,7 +27,7 @@
 
 ANSWER_MARGIN_S = 0.1
 """How long after the deadline the gate's last word is waited for; it says whether it ran."""
-MAX_PASS_BACKS = 2
+MAX_PASS_BACKS = 4
 """Gates that may decline a request for being slow: each costs a way there and back."""
 FIRST_TRY_S = 0.02
 """Time already spent up to which a request counts as asked for the first time."""
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -70,6 +70,8 @@
         Called once with the verdict.
     may_pass_back
         Whether it is better off elsewhere while the host is slow.
+    host_silent
+        Whether the instance was asked how its host is and did not say in time.
     slow_start
         Called if it turns out that the run began in a slow spell.
     """
@@ -80,6 +82,7 @@
     deadline: float
     decided: Callable[[Verdict], None]
     may_pass_back: bool = False
+    host_silent: bool = False
     slow_start: Callable[[], None] = lambda: None
     came_at: float = 0.0
     started_at: float = 0.0
@@ -283,7 +286,7 @@
             return Verdict.CLOSED
         if instance != self.beside.instance:
             return Verdict.WRONG_INSTANCE
-        if ticket.may_pass_back and self.spells.surely_slow(ticket.came_at):
+        if self._passes_back(ticket, ticket.came_at):
             return Verdict.SLOW
         if self._has_slot(ticket):
             return None
@@ -296,6 +299,9 @@
             return Verdict.TOO_LATE
         return None
 
+    def _passes_back(self, ticket: Ticket, now: float) -> bool:
+        return ticket.may_pass_back and (ticket.host_silent or self.spells.surely_slow(now))
+
     def _has_slot(self, ticket: Ticket) -> bool:
         """Tell whether a request may start; those of the lowest rank leave room for the others.
 
@@ -382,7 +388,10 @@
                 return
             self._queue.remove(ticket)
             ticket.waiting = False
-            if now + self.run_s(ticket.route) * LEAST_RUN_SHARE > ticket.deadline:
+            # The host may have turned slow since the request came.
+            if self._passes_back(ticket, now):
+                ticket.decided(Verdict.SLOW)
+            elif now + self.run_s(ticket.route) * LEAST_RUN_SHARE > ticket.deadline:
                 ticket.decided(Verdict.TOO_LATE)
             else:
                 self._start(ticket)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -263,6 +263,7 @@
         self.prober = Prober(
             self.gate.pool, self._health_path, dialect, settings.probes_per_s, clock
         )
+        self.prober.heard = self.gate.gate.hear_load
         self.gate.prober = self.prober
         self.members.reachable.subscribe(self._take_members)
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -136,6 +136,29 @@
     assert log == [Verdict.SLOW, Verdict.RUN, Verdict.RUN]
 
 
+def test_what_waited_is_passed_back_if_its_turn_comes_in_a_slow_spell(gate, clock):
+    log, running = [], [ticket([]), ticket([])]
+    for one in running:
+        gate.ask(one, "i-1")
+    movable, bound = ticket(log), ticket(log)
+    movable.may_pass_back = True
+    gate.ask(movable, "i-1")
+    gate.ask(bound, "i-1")
+    gate.hear_load(LoadFigures(2, 0, 3, 5.0))
+    gate.finished(running[0], True)
+    assert log == [Verdict.SLOW, Verdict.RUN]
+
+
+def test_a_host_that_is_slow_to_say_how_it_is_passes_back(gate):
+    log = []
+    movable, bound = ticket(log), ticket(log)
+    movable.may_pass_back = True
+    movable.host_silent = bound.host_silent = True
+    gate.ask(movable, "i-1")
+    gate.ask(bound, "i-1")
+    assert log == [Verdict.SLOW, Verdict.RUN]
+
+
 def test_urgent_calls_find_a_slot_beside_long_runs(clock):
     """Long runs of low rank fill an instance; short urgent calls come all the time."""
     gate = Gate(clock)
