Gates without room pass on what has room elsewhere; links share one timer

Change: a gate without room refuses as not run what may pass on, if its sender believes that another well gate has room; gates that passed it back are asked again only when the rest are used up. One timer looks at all links of a node. Also: the soak's proxies before links stand at the node's own address, since a node has one address for all its ports; with another one each node refuted the news of itself for ever (100 changes a second). Commands for operators are loaded when asked for.

--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -6,12 +6,10 @@
 import os
 import signal
 import sys
-import time
-from collections.abc import Callable, Coroutine
+from importlib import import_module
 from pathlib import Path
-from typing import Any, BinaryIO, NoReturn
+from typing import BinaryIO, NoReturn
 
-import aiohttp
 import click
 
 from peridottrack import __version__, log
@@ -23,22 +21,15 @@
     read_mesh_settings,
 )
 from peridottrack.debug import quieten_garbage_collection
-from peridottrack.document import parse_document
 from peridottrack.exceptions import (
     AcceptConflict,
     AcceptUnknown,
-    DocumentFaulty,
     Faulty,
     NotOwner,
     PeridottrackError,
     PromiseBroken,
     StoreUnavailable,
 )
-from peridottrack.platform_http import HttpTable
-from peridottrack.revisions import Edit, accept, read_head, read_history, read_revision
-from peridottrack.status import gather_status
-from peridottrack.trace import read_trail, trace_json, trace_text
-from peridottrack.types import SectionName, TableStore
 
 EXIT_CODE_BY_ERROR: dict[type[PeridottrackError], int] = {
     Faulty: 3,
@@ -49,23 +40,33 @@
     PromiseBroken: 8,
 }
 EXIT_INTERNAL = 9
-ADMIN_TIMEOUT_S = 5.0
 EPILOG = (
     "Exit codes: 0 done, 2 wrong usage, 3 faulty settings or document, 4 not the section's owner,"
     " 5 changed by someone else, 6 not known whether accepted, 7 store not available,"
     " 8 a promise was broken, 9 other errors."
 )
 
-platform_option = click.option(
-    "--platform",
-    "platform_url",
-    envvar="PERIDOTTRACK_PLATFORM",
-    required=True,
-    help="URL of the platform's table service (or PERIDOTTRACK_PLATFORM).",
-)
+LATE_COMMANDS = ("document", "dump", "trace")
+"""Commands of `peridottrack.operate`; a node starts without what they need."""
+
+
+class LateGroup(click.Group):
+    """Loads some of its commands only when they are asked for."""
 
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*super().list_commands(ctx), *LATE_COMMANDS])
 
-@click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command, loaded now if need be."""
+        if cmd_name not in LATE_COMMANDS:
+            return super().get_command(ctx, cmd_name)
+        command = getattr(import_module("peridottrack.operate"), cmd_name)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(cls=LateGroup, epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="peridottrack")
 def cli() -> None:
     """A load balancer for servers whose load shifts in milliseconds.
@@ -144,88 +145,13 @@
         load_settings(path)
         click.echo(f"{path}: settings are valid")
         return
+    from peridottrack.document import parse_document
+
     document = parse_document(text, str(path))
     sections, routes = len(document.section_by_name), len(document.routes)
     click.echo(f"{path}: document is valid: {sections} sections, {routes} routes")
 
 
-@cli.group()
-def document() -> None:
-    """Read the operators' document, change a section, accept it."""
-
-
-@document.command("show")
-@click.argument("section", required=False)
-@click.option("--version", "version", type=int, help="An older version of the section.")
-@click.option("--history", is_flag=True, help="List all accepted versions of the section.")
-@platform_option
-def document_show(
-    section: str | None, version: int | None, history: bool, platform_url: str
-) -> None:
-    """Show the sections in force, or the text of one."""
-    name = SectionName(section) if section else None
-    _with_table(platform_url, lambda table: _show(table, name, version, history))
-
-
-@document.command("edit")
-@click.argument("section")
-@platform_option
-def document_edit(section: str, platform_url: str) -> None:
-    """Print a section's text and version, to be changed in a file.
-
-    The first line is a comment with the version; `document accept` reads it from there.
-    """
-    _with_table(platform_url, lambda table: _edit(table, SectionName(section)))
-
-
-@document.command("accept")
-@click.argument("section")
-@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@click.option("--operator", envvar="PERIDOTTRACK_OPERATOR", required=True, help="Your team.")
-@click.option("--base", type=int, help="Version you started from, if the file does not say.")
-@platform_option
-def document_accept(
-    section: str, path: Path, operator: str, base: int | None, platform_url: str
-) -> None:
-    """Bring a section's text into force."""
-    text = path.read_text(encoding="utf-8")
-    if base is None:
-        base = _base_of(text)
-    edit = Edit(SectionName(section), base, text, operator, time.time())
-    _with_table(platform_url, lambda table: _accept(table, edit))
-
-
-@document.command("status")
-@platform_option
-def document_status(platform_url: str) -> None:
-    """Tell in how many nodes the document is in force."""
-    _with_table(platform_url, _status)
-
-
-@cli.command()
-@click.argument("address")
-@click.option("--topic", help="Only one controller's state.")
-def dump(address: str, topic: str | None) -> None:
-    """Print the state of the node with this admin address."""
-    endpoint = parse_endpoint(address)
-    query = f"?topic={topic}" if topic else ""
-    click.echo(asyncio.run(_get_text(f"http://{endpoint}/dump{query}")))
-
-
-@cli.command()
-@click.argument("key")
-@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
-@click.option("--shards", type=int, help="Claim shards, where claims are kept in journals.")
-@platform_option
-def trace(key: str, as_json: bool, shards: int | None, platform_url: str) -> None:
-    """Show what became of the calls with an Idempotency-Key."""
-    lines = asyncio.run(read_trail(platform_url, ADMIN_TIMEOUT_S, shards, key))
-    for line in lines:
-        click.echo(trace_json(line) if as_json else trace_text(line))
-    if not lines:
-        click.echo("no claim with this key")
-
-
 @cli.group()
 def standin() -> None:
     """Run stand-ins of the outside systems, for trials."""
@@ -297,82 +223,6 @@
     return EXIT_INTERNAL
 
 
-def _with_table(url: str, work: Callable[[TableStore], Coroutine[Any, Any, None]]) -> None:
-    async def run() -> None:
-        async with aiohttp.ClientSession() as session:
-            await work(HttpTable(session, url, "peridottrack", ADMIN_TIMEOUT_S))
-
-    asyncio.run(run())
-
-
-async def _show(
-    table: TableStore, section: SectionName | None, version: int | None, history: bool
-) -> None:
-    head = await read_head(table)
-    if section is None:
-        click.echo(f"document version {head.version}")
-        for name, number in sorted(head.version_by_section.items()):
-            click.echo(f"  {name}: version {number}")
-        return
-    if history:
-        for revision in await read_history(table, section):
-            when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(revision.wall_s))
-            click.echo(f"version {revision.version}  {when} UTC  {revision.operator}")
-        return
-    wanted = version or head.version_by_section.get(section, 0)
-    revision_or_none = await read_revision(table, section, wanted) if wanted else None
-    if revision_or_none is None:
-        raise DocumentFaulty([f"{section}: there is no such section or version"])
-    click.echo(revision_or_none.text, nl=False)
-
-
-async def _edit(table: TableStore, section: SectionName) -> None:
-    head = await read_head(table)
-    version = head.version_by_section.get(section, 0)
-    revision = await read_revision(table, section, version) if version else None
-    text = _without_base_line(revision.text) if revision else "{\n}\n"
-    click.echo(f"// base: {version}")
-    click.echo(text, nl=False)
-
-
-def _without_base_line(text: str) -> str:
-    first, _, rest = text.partition("\n")
-    return rest if first.startswith("// base: ") else text
-
-
-def _base_of(text: str) -> int:
-    first = text.partition("\n")[0]
-    number = first.removeprefix("// base: ")
-    if first == number or not number.isdigit():
-        raise click.UsageError("the file does not begin with `// base: N`; give --base N")
-    return int(number)
-
-
-async def _accept(table: TableStore, edit: Edit) -> None:
-    revision = await accept(table, edit)
-    click.echo(
-        f"accepted: section {revision.section} version {revision.version},"
-        f" document version {revision.document_version}"
-    )
-
-
-async def _status(table: TableStore) -> None:
-    status = await gather_status(table)
-    click.echo(f"document version {status.version}")
-    click.echo(f"in force: {len(status.in_force)} nodes")
-    for name, nodes in (("behind", status.behind), ("unknown", status.unknown)):
-        click.echo(f"{name}: {len(nodes)} nodes {' '.join(nodes)}".rstrip())
-
-
-async def _get_text(url: str) -> str:
-    timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
-    try:
-        async with aiohttp.ClientSession(timeout=timeout) as session, session.get(url) as answer:
-            return await answer.text()
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise OSError(f"no answer from {url}: {error}") from None
-
-
 async def _run_node(settings: Settings) -> bool:
     from peridottrack.node import Node
 
--- a/peridottrack/config.py
+++ b/peridottrack/config.py
@@ -130,8 +130,8 @@
 
     callers_address: EndpointText = Field(description="Where callers connect (HTTP).")
     link_address: EndpointText = Field(description="Where other nodes connect (TCP).")
-    advertised_link_address: EndpointText | None = Field(
-        None, description="What other nodes are told to connect to, if it is not link_address."
+    advertised_link_port: int | None = Field(
+        None, ge=1, le=65_535, description="Port that others connect to, if not link_address's."
     )
     ready_address: EndpointText = Field(description="Answers whether the node is ready (HTTP).")
     announce_address: EndpointText = Field(description="The instance announces itself (HTTP).")
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -39,6 +39,7 @@
     Verdict.FULL: ErrorKind.OVERLOADED,
     Verdict.TOO_LATE: ErrorKind.TOO_LATE,
     Verdict.SLOW: ErrorKind.INSTANCE_SLOW,
+    Verdict.BUSY: ErrorKind.INSTANCE_BUSY,
 }
 
 Reply = Callable[[Frame], None]
@@ -64,6 +65,7 @@
             self.deadline,
             self._decide,
             frame.may_pass_back,
+            frame.may_pass_on,
         )
 
     def _decide(self, verdict: Verdict) -> None:
--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from peridottrack.frames import DocumentFrame, Frame, GateLoad, Hello, WantDocument
-from peridottrack.link import GateRoute, Link, LinkHooks, LocalRoute
+from peridottrack.link import TICK_S, GateRoute, Link, LinkHooks, LocalRoute
 from peridottrack.linkserver import LinkServer
 from peridottrack.messages import MemberUpdate
 from peridottrack.types import Clock, NodeId, ServiceName
@@ -64,6 +64,14 @@
                 link.wake()
             self._incarnation_by_node[node] = update.incarnation
 
+    async def run(self) -> None:
+        """Let all links look at the time until cancelled; a timer for each costs more than that."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock.now()
+            for link in list(self._link_by_node.values()):
+                link.tick(now)
+
     def answers(self, node: NodeId) -> bool:
         """Tell whether a node answered lately; known long before it counts as gone."""
         link = self._link_by_node.get(node)
--- a/peridottrack/errors.py
+++ b/peridottrack/errors.py
@@ -45,6 +45,7 @@
     OVERLOADED = "overloaded"
     TOO_LATE = "too_late"
     INSTANCE_SLOW = "instance_slow"
+    INSTANCE_BUSY = "instance_busy"
     DEADLINE_PASSED = "deadline_passed"
     HELD_OFF = "held_off"
     UPSTREAM_SHED = "upstream_shed"
@@ -90,6 +91,7 @@
     ErrorKind.OVERLOADED: AnswerRule(503, Ran.NO, "The queue of the service is full", 1),
     ErrorKind.TOO_LATE: AnswerRule(503, Ran.NO, "It could not be done before its deadline", 1),
     ErrorKind.INSTANCE_SLOW: AnswerRule(503, Ran.NO, "The instance's host is slow now", 1),
+    ErrorKind.INSTANCE_BUSY: AnswerRule(503, Ran.NO, "The instance has no room now", 1),
     ErrorKind.DEADLINE_PASSED: AnswerRule(504, Ran.UNKNOWN, "The deadline passed while it ran"),
     ErrorKind.HELD_OFF: AnswerRule(503, Ran.NO, "This request made instances fail", 30),
     ErrorKind.UPSTREAM_SHED: AnswerRule(503, Ran.NO, "The upstream declined to run it", 1),
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -28,7 +28,7 @@
 ANSWER_MARGIN_S = 0.1
 """How long after the deadline the gate's last word is waited for; it says whether it ran."""
 MAX_PASS_BACKS = 4
-"""Gates that may decline a request for being slow: each costs a way there and back."""
+"""Gates that may pass a request back: each costs a way there and back."""
 FIRST_TRY_S = 0.02
 """Time already spent up to which a request counts as asked for the first time."""
 MAX_SENDS = 6
@@ -44,6 +44,8 @@
 """Bounds of the Retry-After that is told."""
 WAIT_SPREAD = 0.5
 """Random share added to it, so that the refused do not come back at once."""
+PASSED_BACK = frozenset({ErrorKind.INSTANCE_SLOW, ErrorKind.INSTANCE_BUSY})
+"""Refusals that tell only that another gate was thought to be better."""
 FAILING_STATUS = 500
 """Statuses from here on speak against an instance."""
 
@@ -60,6 +62,8 @@
         Instances that may have run it.
     refused_by
         Gates and instances that did not run it.
+    passed_by
+        Gates that passed it back, since it was thought to be better off elsewhere.
     arrived
         Whether it reached an instance, so that another send counts as a second one.
     """
@@ -73,6 +77,7 @@
     head: bytes
     sent_to: list[InstanceId] = field(default_factory=list)
     refused_by: set[InstanceId] = field(default_factory=set)
+    passed_by: set[InstanceId] = field(default_factory=set)
     wait_s: float = 0.0
     last_kind: ErrorKind = ErrorKind.NO_INSTANCE
     unsure: bool = False
@@ -253,9 +258,7 @@
 
     def _choose(self, journey: _Journey) -> Choice | None:
         run_s = self._run_s(journey.route)
-        exclude = journey.refused_by.union(journey.sent_to)
-        routes = self._routes_of(journey.service)
-        choice = self._placement.choose(routes, run_s, journey.route.target_s, exclude)
+        choice = self._choose_gate(journey, run_s)
         if choice is None:
             return None
         left_s = journey.deadline - self._clock.now()
@@ -265,13 +268,21 @@
             return None
         return choice
 
+    def _choose_gate(self, journey: _Journey, run_s: float) -> Choice | None:
+        exclude = journey.refused_by.union(journey.sent_to)
+        choose, target_s = self._placement.choose, journey.route.target_s
+        routes = self._routes_of(journey.service)
+        choice = None
+        if len(journey.passed_by) < MAX_PASS_BACKS:
+            choice = choose(routes, run_s, target_s, exclude | journey.passed_by)
+        # What they said of themselves with the request is newer than what is known of others.
+        return choice or choose(routes, run_s, target_s, exclude)
+
     async def _send(self, journey: _Journey, choice: Choice) -> WholeAnswer | None:
         """Ask one gate; None if the request may go elsewhere or has to be given up."""
         started_at = self._clock.now()
         instance = choice.load.instance
-        pass_back = choice.alternative and not journey.sent_to
-        pass_back = pass_back and len(journey.refused_by) < MAX_PASS_BACKS
-        frame = self._frame(journey, instance, started_at, pass_back)
+        frame = self._frame(journey, choice, started_at)
         try:
             async with asyncio.timeout_at(journey.deadline + ANSWER_MARGIN_S):
                 if not journey.route.idempotent:
@@ -328,7 +339,7 @@
         if not self.seconds_of(journey.service).take():
             return None
         self._log_again(journey, choice.load.instance, "hurry")
-        frame = self._frame(journey, choice.load.instance, self._clock.now(), False)
+        frame = self._frame(journey, choice, self._clock.now())
         return choice.load.instance, choice.route.ask(frame)
 
     async def _first_good(
@@ -375,10 +386,9 @@
             journey.refused_by.add(instance)
             journey.last_kind = ErrorKind.UPSTREAM_UNREACHABLE
 
-    def _frame(
-        self, journey: _Journey, instance: InstanceId, now: float, pass_back: bool
-    ) -> ForwardedRequest:
+    def _frame(self, journey: _Journey, choice: Choice, now: float) -> ForwardedRequest:
         request, route = journey.request, journey.route
+        movable = not journey.sent_to and len(journey.passed_by) < MAX_PASS_BACKS
         return ForwardedRequest(
             next(self._numbers),
             max(0.0, journey.deadline - now),
@@ -392,13 +402,17 @@
             request.target,
             journey.head,
             request.body,
-            instance,
-            pass_back,
+            choice.load.instance,
+            movable and choice.well_elsewhere,
+            movable and choice.room_elsewhere,
         )
 
     def _take_refusal(self, journey: _Journey, instance: InstanceId, refusal: Refusal) -> None:
         journey.last_kind = refusal.kind
         journey.wait_s = max(journey.wait_s, refusal.wait_s)
+        if refusal.kind in PASSED_BACK:
+            journey.passed_by.add(instance)
+            return
         if refusal.ran is Ran.NO:
             journey.refused_by.add(instance)
             if refusal.kind is ErrorKind.UPSTREAM_SHED:
@@ -441,7 +455,7 @@
                 took_s=round(took_s, 4),
                 target_s=journey.route.target_s,
                 sent_to=journey.sent_to,
-                refused_by=sorted(journey.refused_by),
+                refused_by=sorted(journey.refused_by | journey.passed_by),
             )
 
     def _give_up(self, journey: _Journey) -> WholeAnswer:
@@ -458,7 +472,7 @@
             service=journey.service,
             kind=kind.value,
             sent_to=journey.sent_to,
-            refused_by=sorted(journey.refused_by),
+            refused_by=sorted(journey.refused_by | journey.passed_by),
             waited_s=round(self._clock.now() - journey.request.read_at, 4),
             left_s=round(journey.deadline - self._clock.now(), 4),
         )
--- a/peridottrack/frames.capnp
+++ b/peridottrack/frames.capnp
@@ -46,6 +46,7 @@
       body @14 :Data;
       instance @15 :Text;
       mayPassBack @33 :Bool;
+      mayPassOn @37 :Bool;
     }
     cancel @16 :UInt32;
     answer :group {
--- a/peridottrack/frames.py
+++ b/peridottrack/frames.py
@@ -105,6 +105,8 @@
         Whether it may have reached an instance before.
     may_pass_back
         Whether the sender knows a gate that is not slow, so that a slow one should decline.
+    may_pass_on
+        Whether it knows one that has room besides, so that one without should decline.
     """
 
     number: int
@@ -121,6 +123,7 @@
     body: bytes
     instance: InstanceId
     may_pass_back: bool = False
+    may_pass_on: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -378,6 +381,7 @@
     target.body = frame.body
     target.instance = frame.instance
     target.mayPassBack = frame.may_pass_back
+    target.mayPassOn = frame.may_pass_on
 
 
 def _read_request(message: Any) -> ForwardedRequest:
@@ -397,6 +401,7 @@
         source.body,
         InstanceId(source.instance),
         source.mayPassBack,
+        source.mayPassOn,
     )
 
 
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -4,6 +4,9 @@
 room below the limit; otherwise it waits, and is refused as not run as soon as the forecast says
 that it cannot be answered in time.
 
+Answers the pattern of many nodes that know little of each other's requests: what they sent at the
+same time to the same instance goes on to others that have room, instead of waiting.
+
 Answers the pattern of bursts beyond what an instance can do: of one rank, those that can still meet
 their target go first, so that a burst makes some late instead of all.
 """
@@ -56,6 +59,7 @@
     TOO_LATE = "too_late"
     WRONG_INSTANCE = "wrong_instance"
     SLOW = "slow"
+    BUSY = "busy"
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +74,8 @@
         Called once with the verdict.
     may_pass_back
         Whether it is better off elsewhere while the host is slow.
+    may_pass_on
+        Whether it is better off elsewhere than in the queue.
     host_silent
         Whether the instance was asked how its host is and did not say in time.
     slow_start
@@ -82,6 +88,7 @@
     deadline: float
     decided: Callable[[Verdict], None]
     may_pass_back: bool = False
+    may_pass_on: bool = False
     host_silent: bool = False
     slow_start: Callable[[], None] = lambda: None
     came_at: float = 0.0
@@ -290,6 +297,8 @@
             return Verdict.SLOW
         if self._has_slot(ticket):
             return None
+        if ticket.may_pass_on:
+            return Verdict.BUSY
         if self.waiting >= WAITING_PER_SLOT * self.beside.slots:
             return Verdict.FULL
         expected_at = ticket.came_at + self.forecast_s(ticket)
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -28,7 +28,9 @@
 from peridottrack.types import Clock, Endpoint, FailureDomain
 
 TICK_S = 0.1
-"""How often a link looks at the time."""
+"""How often links look at the time."""
+STOOD_STILL_S = 5 * TICK_S
+"""Time between two looks from which this process itself is taken to have stood still."""
 PING_IDLE_S = 1.0
 """Silence after which an idle link is asked for a sign of life."""
 PING_BUSY_S = 0.2
@@ -188,6 +190,7 @@
         self._ticked_at = float("-inf")
         self._pings = 0
         self._wake = asyncio.Event()
+        self._gone = asyncio.Event()
 
     @property
     def peer(self) -> str:
@@ -238,7 +241,7 @@
                         pause_s = min(RECONNECT_MAX_S, pause_s * 2)
                     continue
                 pause_s, timeout_s = RECONNECT_MIN_S, CONNECT_FIRST_S
-                await self._watch(connection)
+                await self._gone.wait()
                 await asyncio.sleep(RECONNECT_MIN_S)
         finally:
             if self._connection is not None:
@@ -259,31 +262,33 @@
             log.debug("link", "not connected", peer=str(self._endpoint), error=repr(error))
             return None
         self._connection = connection
-        self.heard_at = self._clock.now()
+        self._gone.clear()
+        self.heard_at = self._ticked_at = self._clock.now()
         connection.write(self._me())
         log.event("link up", peer=str(self._endpoint))
         return connection
 
-    async def _watch(self, connection: _LinkConnection) -> None:
-        while self._connection is connection:
-            await asyncio.sleep(TICK_S)
-            now = self._clock.now()
-            if now - self._ticked_at > 5 * TICK_S:
-                # This process stood still: what is heard next tells more than the silence.
-                connection.write(self._me())
-                self.heard_at = max(self.heard_at, now - PING_IDLE_S)
-            self._ticked_at = now
-            silent_s = now - self.heard_at
-            if silent_s > LOST_S:
-                log.event("link silent", peer=str(self._endpoint), silent_s=round(silent_s, 2))
-                connection.abort()
-                self.lost(connection, "silent")
-            elif silent_s > (PING_BUSY_S if self._waiter_by_number else PING_IDLE_S):
-                self._ping(connection, now)
-            if self._suspect(now):
-                # What waits for a host that fell silent is better sent elsewhere.
-                for hurry in list(self._hurry_by_number.values()):
-                    hurry()
+    def tick(self, now: float) -> None:
+        """Look how long the other side has been silent; to be called every `TICK_S` seconds."""
+        connection = self._connection
+        if connection is None:
+            return
+        if now - self._ticked_at > STOOD_STILL_S:
+            # This process stood still: what is heard next tells more than the silence.
+            connection.write(self._me())
+            self.heard_at = max(self.heard_at, now - PING_IDLE_S)
+        self._ticked_at = now
+        silent_s = now - self.heard_at
+        if silent_s > LOST_S:
+            log.event("link silent", peer=str(self._endpoint), silent_s=round(silent_s, 2))
+            connection.abort()
+            self.lost(connection, "silent")
+        elif silent_s > (PING_BUSY_S if self._waiter_by_number else PING_IDLE_S):
+            self._ping(connection, now)
+        if self._suspect(now):
+            # What waits for a host that fell silent is better sent elsewhere.
+            for hurry in list(self._hurry_by_number.values()):
+                hurry()
 
     def _ping(self, connection: _LinkConnection, now: float) -> None:
         if self._pinged_at > self.heard_at and now - self._pinged_at < PING_IDLE_S:
@@ -320,6 +325,7 @@
         if self._connection is not connection:
             return
         self._connection = None
+        self._gone.set()
         self.load = None
         log.event(
             "link lost",
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -35,7 +35,15 @@
 from peridottrack.routing import RouteTable
 from peridottrack.seconds import SecondSends
 from peridottrack.sources import DocumentReader, DocumentSource
-from peridottrack.types import Clock, FailureDomain, InstanceId, NodeId, Region, ServiceName
+from peridottrack.types import (
+    Clock,
+    Endpoint,
+    FailureDomain,
+    InstanceId,
+    NodeId,
+    Region,
+    ServiceName,
+)
 from peridottrack.wire import Sealer
 
 JOIN_PAUSE_S = 1.0
@@ -132,6 +140,7 @@
         callers = parse_endpoint(self.settings.callers_address)
         await self.ingress.start(callers.host, callers.port)
         self._spawn(self.members.run())
+        self._spawn(self.links.run())
         self._spawn(self._tend_log())
         self._spawn(self._join())
         self._spawn(self.follow.run())
@@ -272,11 +281,15 @@
             NodeId(self.settings.gossip_address),
             int(self._clock.wall() * 1000),
             MemberState.ALIVE,
-            parse_endpoint(self.settings.advertised_link_address or self.settings.link_address),
+            self._advertised_link(),
             FailureDomain(self.settings.failure_domain),
             Region(self.settings.region),
         )
 
+    def _advertised_link(self) -> Endpoint:
+        link = parse_endpoint(self.settings.link_address)
+        return Endpoint(link.host, self.settings.advertised_link_port or link.port)
+
     def _hello(self) -> Hello:
         return Hello(
             NodeId(self.settings.gossip_address),
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -54,15 +54,18 @@
     ----------
     wait_s, run_s
         Expected seconds before and during the run.
-    alternative
+    well_elsewhere
         Whether another gate is not known to be slow.
+    room_elsewhere
+        Whether another gate is not known to be slow and is thought to have room.
     """
 
     route: GateRoute
     load: GateLoad
     wait_s: float
     run_s: float
-    alternative: bool = False
+    well_elsewhere: bool = False
+    room_elsewhere: bool = False
 
 
 class Placement:
@@ -99,19 +102,24 @@
         now = self._clock.now()
         best: Choice | None = None
         best_cost = float("inf")
-        well = 0
+        well = roomy = 0
         for route in routes:
             load = route.load
             if load is None or not load.open or load.instance in exclude or not route.usable:
                 continue
             choice = self._expect(route, load, run_s, now)
             well += load.slowdown < SLOW
+            roomy += _has_room(choice)
             cost = self._cost(choice, target_s, now)
             if cost < best_cost:
                 best, best_cost = choice, cost
         if best is None:
             return None
-        return replace(best, alternative=well > (best.load.slowdown < SLOW))
+        return replace(
+            best,
+            well_elsewhere=well > (best.load.slowdown < SLOW),
+            room_elsewhere=roomy > _has_room(best),
+        )
 
     def ended(self, instance: InstanceId, failed: bool) -> None:
         """Take in how a request at an instance ended."""
@@ -143,3 +151,7 @@
         if choice.route.domain != self._domain:
             cost += DISTANCE_SHARE * choice.run_s
         return cost * (1.0 + TIE_NOISE * self._rng.random())
+
+
+def _has_room(choice: Choice) -> bool:
+    return choice.load.slowdown < SLOW and choice.wait_s <= 0
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -114,12 +114,14 @@
             Proxy(ip, 0),
             Proxy("127.0.0.1", instance.port),
         )
-        store, link, upstream = [await proxy.start() for proxy in proxies]
+        store, upstream = await proxies[0].start(), await proxies[2].start()
+        # A node has one address for all its ports.
+        link = await proxies[1].start(ip)
         settings = mesh_settings(
             ip,
             upstream,
             store_url=f"http://{store}",
-            advertised_link_address=link,
+            advertised_link_port=int(link.rpartition(":")[2]),
             failure_domain="ab"[number % 2],
             shutdown_s=SHUTDOWN_S,
             second_ratio=SECOND_RATIO,
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -149,6 +149,18 @@
     assert log == [Verdict.SLOW, Verdict.RUN]
 
 
+def test_what_has_no_room_here_goes_on_if_there_is_room_elsewhere(gate):
+    log = []
+    for _ in range(3):
+        gate.ask(ticket([]), "i-1")
+    movable = ticket(log)
+    movable.may_pass_on = True
+    gate.ask(movable, "i-1")
+    gate.ask(ticket(log), "i-1")
+    assert log == [Verdict.BUSY]
+    assert gate.waiting == 2
+
+
 def test_a_host_that_is_slow_to_say_how_it_is_passes_back(gate):
     log = []
     movable, bound = ticket(log), ticket(log)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -128,3 +128,19 @@
         pass
     clock.advance(10.1)
     assert budget.take()
+
+
+@pytest.mark.parametrize(
+    ("other", "well", "room"),
+    [
+        ({}, True, True),
+        ({"running": 10}, True, False),
+        ({"slowdown": 5.0}, False, False),
+        ({"open": False}, False, False),
+    ],
+)
+def test_tells_whether_another_gate_is_well_and_has_room(placement, other, well, room):
+    ways = [Way(gate("chosen")), Way(gate("other", **other), domain="b")]
+    choice = placement.choose(ways, RUN_S, TARGET_S)
+    assert choice.load.instance == "chosen"
+    assert (choice.well_elsewhere, choice.room_elsewhere) == (well, room)
