What gates passed back waits at the shortest queue that was told

Cause: the last gate in a row could not pass a request on, since no other was thought to have room, so it waited there even if the queue was the longest (test_forward, which failed with 'three' for 'two'). Change: once some gates have told their queues, the next may pass on too, and the shortest queue known is taken.

--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -388,7 +388,9 @@
 
     def _frame(self, journey: _Journey, choice: Choice, now: float) -> ForwardedRequest:
         request, route = journey.request, journey.route
-        movable = not journey.sent_to and len(journey.passed_by) < MAX_PASS_BACKS
+        passed = journey.passed_by
+        movable = not journey.sent_to and len(passed) < MAX_PASS_BACKS
+        movable = movable and choice.load.instance not in passed
         return ForwardedRequest(
             next(self._numbers),
             max(0.0, journey.deadline - now),
@@ -404,7 +406,8 @@
             request.body,
             choice.load.instance,
             movable and choice.well_elsewhere,
-            movable and choice.room_elsewhere,
+            # Once some have told how long their queues are, the shortest of all is known.
+            movable and (choice.room_elsewhere or bool(passed)),
         )
 
     def _take_refusal(self, journey: _Journey, instance: InstanceId, refusal: Refusal) -> None:
