--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -215,5 +215,5 @@
         host.instance.script.work_s = WORK_S
 
 
-WORK_S = 0.01
+WORK_S = 0.08
 """Time that an instance usually works on a request."""
