--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -105,9 +105,8 @@
         self.calls.append(call)
         if self.status != 200:
             return web.json_response({}, status=self.status)
-        if self.lose_answers:
-            if request.transport is not None:
-                request.transport.abort()
+        if self.lose_answers and request.transport is not None:
+            request.transport.abort()
         return web.json_response(data, status=status)
 
     async def _get(self, request: web.Request) -> web.Response:
