--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -121,9 +121,8 @@
         return asyncio.create_task(self._serve(work))
 
     async def _serve(self, work: _Work) -> None:
-        if work.ticket.may_pass_back:
-            await self._look(work.ticket)
-        self.gate.ask(work.ticket, work.frame.instance)
+        host_silent = work.ticket.may_pass_back and await self._is_silent(work.ticket)
+        self.gate.ask(work.ticket, work.frame.instance, host_silent)
         try:
             async with asyncio.timeout_at(work.deadline):
                 verdict = await work.turn
@@ -138,9 +137,11 @@
         else:
             self._refuse(work, KIND_BY_VERDICT[verdict], Ran.NO, verdict.value)
 
-    async def _look(self, ticket: Ticket) -> None:
+    async def _is_silent(self, ticket: Ticket) -> bool:
         """Ask the instance how its host is, if a slow run would miss the target.
 
+        What it says is heard by the gate; the result is whether it said nothing in time.
+
         Answers the pattern of instances with few requests: their answers are too rare to tell of
         spells of a few hundred milliseconds.
         """
@@ -151,8 +152,8 @@
             or not gate.spells.unsure(now)
             or now + slow_run_s < ticket.target_at
         ):
-            return
-        ticket.host_silent = await self.prober.ask_soon() is Unheard.SILENT
+            return False
+        return await self.prober.ask_soon() is Unheard.SILENT
 
     async def _run(self, work: _Work) -> None:
         ran = False
--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from peridottrack.frames import DocumentFrame, Frame, GateLoad, Hello, WantDocument
-from peridottrack.link import TICK_S, GateRoute, Link, LinkHooks, LocalRoute
+from peridottrack.frames import DocumentFrame, GateLoad, Hello, WantDocument
+from peridottrack.gateroute import GateRoute, LocalRoute
+from peridottrack.link import TICK_S, Link, LinkHooks
 from peridottrack.linkserver import LinkServer
 from peridottrack.messages import MemberUpdate
 from peridottrack.types import Clock, NodeId, ServiceName
@@ -123,11 +124,6 @@
         """Return what each gate said last, for a dump."""
         return {node: link.load for node, link in self._link_by_node.items()}
 
-    def send_all(self, frame: Frame) -> None:
-        """Send a frame over all links."""
-        for link in self._link_by_node.values():
-            link.send(frame)
-
     async def stop(self) -> None:
         """Close all links."""
         for task in self._task_by_node.values():
--- /dev/null
+++ b/peridottrack/framecodec.py
@@ -0,0 +1,306 @@
+"""Bytes of frames: the pycapnp codec, and the stream that carries frames one after the other."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Callable, Iterator
+from importlib import resources
+from typing import Any
+
+import capnp
+
+from peridottrack.errors import ErrorKind, Ran
+from peridottrack.exceptions import FrameRejected
+from peridottrack.frames import (
+    Cancel,
+    DocumentFrame,
+    ForwardedRequest,
+    Frame,
+    GateLoad,
+    Hello,
+    Hurry,
+    InstanceAnswer,
+    LinkPing,
+    LinkPong,
+    Refusal,
+    WantDocument,
+)
+from peridottrack.types import FailureDomain, InstanceId, NodeId, ServiceName
+
+capnp.remove_import_hook()
+with resources.as_file(resources.files("peridottrack") / "frames.capnp") as _path:
+    _schema = capnp.load(str(_path))
+
+LENGTH = struct.Struct(">I")
+MAX_FRAME_BYTES = 80 << 20
+"""Above the largest body that a document may allow, so that a broken length is noticed."""
+WINDOW_BITS = 12
+DEFLATE_MEMORY = 5
+DEFLATE_LEVEL = 4
+"""Compression of a connection: some 40 KB a direction, which repeat headers of a few requests."""
+SYNC_MARK = b"\x00\x00\xff\xff"
+"""What a flush ends with (RFC 7692, section 7.2.1); not sent, since frames have a length."""
+READ_LIMIT_WORDS = MAX_FRAME_BYTES // 4
+MICROSECONDS = 1_000_000
+MAX_UINT16 = 0xFFFF
+MAX_UINT32 = 0xFFFFFFFF
+MAX_INT32 = 0x7FFFFFFF
+
+
+def encode(frame: Frame) -> bytes:
+    """Return a frame's bytes, without their length."""
+    message = _schema.Frame.new_message()
+    _FILL_BY_TYPE[type(frame)](message, frame)
+    found: bytes = message.to_bytes_packed()
+    return found
+
+
+def decode(data: bytes) -> Frame:
+    """Read one frame without its length.
+
+    Raises
+    ------
+    FrameRejected
+        If the bytes are not a frame.
+    """
+    try:
+        message = _schema.Frame.from_bytes_packed(data, traversal_limit_in_words=READ_LIMIT_WORDS)
+        return _READ_BY_NAME[str(message.which())](message)
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise FrameRejected(f"undecodable frame of {len(data)} bytes: {error}") from error
+
+
+class FrameWriter:
+    """Puts frames into a stream of bytes, compressed together once that is agreed."""
+
+    def __init__(self) -> None:
+        self._deflater: zlib._Compress | None = None
+
+    def compress(self) -> None:
+        """Compress all that follows."""
+        if self._deflater is None:
+            self._deflater = zlib.compressobj(
+                DEFLATE_LEVEL, zlib.DEFLATED, -WINDOW_BITS, DEFLATE_MEMORY
+            )
+
+    def wrap(self, data: bytes) -> bytes:
+        """Return the stream's bytes of a frame made by `encode`."""
+        if self._deflater is not None:
+            data = self._deflater.compress(data) + self._deflater.flush(zlib.Z_SYNC_FLUSH)
+            data = data.removesuffix(SYNC_MARK)
+        return LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._inflater: zlib._Decompress | None = None
+
+    def decompress(self) -> None:
+        """Take all that follows for compressed."""
+        if self._inflater is None:
+            self._inflater = zlib.decompressobj(-WINDOW_BITS)
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that are complete.
+
+        Raises
+        ------
+        FrameRejected
+            If a length is impossible or a frame cannot be read.
+        """
+        self._buffer += data
+        while len(self._buffer) >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(self._buffer)
+            if length > MAX_FRAME_BYTES:
+                raise FrameRejected(f"frame of {length} bytes")
+            end = LENGTH.size + length
+            if len(self._buffer) < end:
+                break
+            frame = bytes(self._buffer[LENGTH.size : end])
+            del self._buffer[:end]
+            yield decode(self._inflated(frame))
+
+    def _inflated(self, data: bytes) -> bytes:
+        if self._inflater is None:
+            return data
+        try:
+            found = self._inflater.decompress(data + SYNC_MARK, MAX_FRAME_BYTES)
+        except zlib.error as error:
+            raise FrameRejected(f"frame cannot be inflated: {error}") from error
+        if self._inflater.unconsumed_tail:
+            raise FrameRejected(f"frame inflates to more than {MAX_FRAME_BYTES} bytes")
+        return found
+
+
+def _microseconds(seconds: float) -> int:
+    return min(max(int(seconds * MICROSECONDS), 0), MAX_UINT32)
+
+
+def _signed_microseconds(seconds: float) -> int:
+    return min(max(int(seconds * MICROSECONDS), -MAX_INT32), MAX_INT32)
+
+
+def _fill_load(target: Any, load: GateLoad) -> None:
+    target.instance = load.instance
+    target.service = load.service
+    target.open = load.open
+    target.slots = min(load.slots, MAX_UINT16)
+    target.limit = min(load.limit, MAX_UINT16)
+    target.running = min(load.running, MAX_UINT16)
+    target.waiting = min(load.waiting, MAX_UINT16)
+    target.slowdownPercent = min(int(load.slowdown * 100), MAX_UINT16)
+    target.slowdownAgeMs = min(int(load.slowdown_age_s * 1000), MAX_UINT16)
+    target.cold = load.cold
+    target.meanPercent = min(int(load.mean_slowdown * 100), MAX_UINT16)
+    target.spellMs = min(int(load.spell_s * 1000), MAX_UINT16)
+
+
+def _read_load(source: Any) -> GateLoad:
+    return GateLoad(
+        InstanceId(source.instance),
+        ServiceName(source.service),
+        source.open,
+        source.slots,
+        source.limit,
+        source.running,
+        source.waiting,
+        source.slowdownPercent / 100,
+        source.slowdownAgeMs / 1000,
+        source.cold,
+        source.meanPercent / 100,
+        source.spellMs / 1000,
+    )
+
+
+def _fill_hello(message: Any, frame: Hello) -> None:
+    target = message.init("hello")
+    target.node = frame.node
+    target.domain = frame.domain
+    target.documentVersion = frame.document_version
+    target.compressed = frame.compressed
+
+
+def _read_hello(message: Any) -> Hello:
+    source = message.hello
+    return Hello(
+        NodeId(source.node),
+        FailureDomain(source.domain),
+        source.documentVersion,
+        source.compressed,
+    )
+
+
+def _fill_request(message: Any, frame: ForwardedRequest) -> None:
+    target = message.init("request")
+    target.number = frame.number
+    target.budget = _microseconds(frame.budget_s)
+    target.sentAt = int(frame.sent_at * MICROSECONDS)
+    target.targetTime = _signed_microseconds(frame.target_s)
+    target.route = frame.route
+    target.rank = frame.rank
+    target.idempotent = frame.idempotent
+    target.again = frame.again
+    target.method = frame.method
+    target.path = frame.path
+    target.head = frame.head
+    target.body = frame.body
+    target.instance = frame.instance
+    target.mayPassBack = frame.may_pass_back
+    target.mayPassOn = frame.may_pass_on
+
+
+def _read_request(message: Any) -> ForwardedRequest:
+    source = message.request
+    return ForwardedRequest(
+        source.number,
+        source.budget / MICROSECONDS,
+        source.sentAt / MICROSECONDS,
+        source.targetTime / MICROSECONDS,
+        source.route,
+        source.rank,
+        source.idempotent,
+        source.again,
+        source.method,
+        source.path,
+        source.head,
+        source.body,
+        InstanceId(source.instance),
+        source.mayPassBack,
+        source.mayPassOn,
+    )
+
+
+def _fill_answer(message: Any, frame: InstanceAnswer) -> None:
+    target = message.init("answer")
+    target.number = frame.number
+    target.status = frame.status
+    target.head = frame.head
+    target.body = frame.body
+    target.runTime = _microseconds(frame.run_s)
+    _fill_load(target.load, frame.load)
+
+
+def _read_answer(message: Any) -> InstanceAnswer:
+    source = message.answer
+    load = _read_load(source.load)
+    run_s = source.runTime / MICROSECONDS
+    return InstanceAnswer(source.number, source.status, source.head, source.body, load, run_s)
+
+
+def _fill_refusal(message: Any, frame: Refusal) -> None:
+    target = message.init("refusal")
+    target.number = frame.number
+    target.kind = frame.kind.value
+    target.ran = frame.ran.value
+    target.waitMs = int(frame.wait_s * 1000)
+    _fill_load(target.load, frame.load)
+
+
+def _read_refusal(message: Any) -> Refusal:
+    source = message.refusal
+    return Refusal(
+        source.number,
+        ErrorKind(source.kind),
+        Ran(str(source.ran)),
+        source.waitMs / 1000,
+        _read_load(source.load),
+    )
+
+
+def _fill_document(message: Any, frame: DocumentFrame) -> None:
+    target = message.init("document")
+    target.version = frame.version
+    target.data = frame.data
+
+
+_FILL_BY_TYPE: dict[type, Callable[[Any, Any], None]] = {
+    Hello: _fill_hello,
+    ForwardedRequest: _fill_request,
+    Cancel: lambda message, frame: setattr(message, "cancel", frame.number),
+    InstanceAnswer: _fill_answer,
+    Refusal: _fill_refusal,
+    GateLoad: lambda message, frame: _fill_load(message.init("load"), frame),
+    Hurry: lambda message, frame: setattr(message, "hurry", frame.number),
+    LinkPing: lambda message, frame: setattr(message, "ping", frame.number),
+    LinkPong: lambda message, frame: setattr(message, "pong", frame.number),
+    WantDocument: lambda message, frame: setattr(message, "wantDocument", frame.have),
+    DocumentFrame: _fill_document,
+}
+
+_READ_BY_NAME: dict[str, Callable[[Any], Frame]] = {
+    "hello": _read_hello,
+    "request": _read_request,
+    "cancel": lambda message: Cancel(message.cancel),
+    "answer": _read_answer,
+    "refusal": _read_refusal,
+    "load": lambda message: _read_load(message.load),
+    "hurry": lambda message: Hurry(message.hurry),
+    "ping": lambda message: LinkPing(message.ping),
+    "pong": lambda message: LinkPong(message.pong),
+    "wantDocument": lambda message: WantDocument(message.wantDocument),
+    "document": lambda message: DocumentFrame(message.document.version, message.document.data),
+}
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -13,8 +13,6 @@
 
 from __future__ import annotations
 
-import math
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -23,19 +21,13 @@
 from peridottrack.dialect import LoadFigures
 from peridottrack.frames import GateLoad
 from peridottrack.knee import Knee
+from peridottrack.runtimes import RunTime
 from peridottrack.spells import SLOW, Spells
 from peridottrack.types import Clock, InstanceId, ServiceName
+from peridottrack.urgent import Urgent
 
-RUN_WEIGHT = 0.1
-"""Weight of a new run time in its moving average: about the last ten runs of a route count."""
-FIRST_RUN_S = 0.1
-"""Run time that is assumed of a route that never ran here."""
-OUTLIER = 3.0
-"""Factor over the usual at which a run time is cut, so that a spell teaches little."""
 URGENT_HEADROOM = 1.5
 """Slots kept for urgent requests, as a factor on those that they use on average."""
-URGENT_MEMORY_S = 2.0
-"""Time over which that average is taken."""
 LEAST_RUN_SHARE = 0.5
 """Share of its usual run time that must be left for a request to be started: runs vary."""
 WAITING_PER_SLOT = 3
@@ -76,8 +68,6 @@
         Whether it is better off elsewhere while the host is slow.
     may_pass_on
         Whether it is better off elsewhere than in the queue.
-    host_silent
-        Whether the instance was asked how its host is and did not say in time.
     slow_start
         Called if it turns out that the run began in a slow spell.
     """
@@ -89,7 +79,6 @@
     decided: Callable[[Verdict], None]
     may_pass_back: bool = False
     may_pass_on: bool = False
-    host_silent: bool = False
     slow_start: Callable[[], None] = lambda: None
     came_at: float = 0.0
     started_at: float = 0.0
@@ -98,57 +87,6 @@
     waiting: bool = False
 
 
-@dataclass(slots=True)
-class _RunTime:
-    """Moving average of a route's run time at usual speed, in seconds."""
-
-    mean_s: float = FIRST_RUN_S
-    count: int = 0
-
-    def add(self, seconds: float) -> None:
-        self.count += 1
-        self.mean_s += (seconds - self.mean_s) * max(RUN_WEIGHT, 1.0 / self.count)
-
-
-@dataclass(slots=True)
-class _Urgent:
-    """How many of the running requests are more urgent than the least urgent ones.
-
-    Attributes
-    ----------
-    rank
-        The highest number of a rank that counts as urgent; below all ranks until two were seen.
-    """
-
-    rank: int = -1
-    running: int = 0
-    _mean: float = 0.0
-    _at: float = 0.0
-    _lowest: int = -1
-    _running_by_rank: Counter[int] = field(default_factory=Counter)
-
-    def started(self, rank: int, now: float) -> None:
-        if rank > self._lowest:
-            # Everything seen so far is more urgent than this one.
-            self.rank, self._lowest = self._lowest, rank
-        self._count(rank, 1, now)
-
-    def ended(self, rank: int, now: float) -> None:
-        self._count(rank, -1, now)
-
-    def mean(self, now: float) -> float:
-        """Return the moving average of the urgent requests that run."""
-        fresh = 1.0 - math.exp(-max(0.0, now - self._at) / URGENT_MEMORY_S)
-        return self._mean + (self.running - self._mean) * fresh
-
-    def _count(self, rank: int, change: int, now: float) -> None:
-        self._mean, self._at = self.mean(now), now
-        self._running_by_rank[rank] += change
-        self.running = sum(
-            count for other, count in self._running_by_rank.items() if other <= self.rank
-        )
-
-
 @dataclass(slots=True)
 class Beside:
     """What is known of the instance beside this node."""
@@ -173,10 +111,10 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._queue: list[Ticket] = []
-        self._run_time_by_route: dict[str, _RunTime] = {}
-        self._mean_run = _RunTime()
+        self._run_time_by_route: dict[str, RunTime] = {}
+        self._mean_run = RunTime()
         self.spells = Spells()
-        self._urgent = _Urgent()
+        self._urgent = Urgent()
         self.beside = Beside()
         self._running: set[Ticket] = set()
         self.stopping = False
@@ -275,10 +213,16 @@
 
     # -- requests ----------------------------------------------------------------------
 
-    def ask(self, ticket: Ticket, instance: InstanceId) -> None:
-        """Ask to run a request; ``decided`` is called now or when its turn comes."""
+    def ask(self, ticket: Ticket, instance: InstanceId, host_silent: bool = False) -> None:
+        """Ask to run a request; ``decided`` is called now or when its turn comes.
+
+        Parameters
+        ----------
+        host_silent
+            Whether the instance was asked just now how its host is and did not say in time.
+        """
         ticket.came_at = self._clock.now()
-        refusal = self._refusal(ticket, instance)
+        refusal = self._refusal(ticket, instance, host_silent)
         if refusal is not None:
             ticket.decided(refusal)
         elif self._has_slot(ticket):
@@ -288,12 +232,13 @@
             self._queue.append(ticket)
             self.beside.knee.wanted(ticket.came_at)
 
-    def _refusal(self, ticket: Ticket, instance: InstanceId) -> Verdict | None:
+    def _refusal(self, ticket: Ticket, instance: InstanceId, host_silent: bool) -> Verdict | None:
         if not self.is_open:
             return Verdict.CLOSED
         if instance != self.beside.instance:
             return Verdict.WRONG_INSTANCE
-        if self._passes_back(ticket, ticket.came_at):
+        slow = host_silent or self.spells.surely_slow(ticket.came_at)
+        if ticket.may_pass_back and slow:
             return Verdict.SLOW
         if self._has_slot(ticket):
             return None
@@ -308,9 +253,6 @@
             return Verdict.TOO_LATE
         return None
 
-    def _passes_back(self, ticket: Ticket, now: float) -> bool:
-        return ticket.may_pass_back and (ticket.host_silent or self.spells.surely_slow(now))
-
     def _has_slot(self, ticket: Ticket) -> bool:
         """Tell whether a request may start; those of the lowest rank leave room for the others.
 
@@ -375,14 +317,14 @@
 
     def _learn(self, ticket: Ticket) -> None:
         seconds = self.run_time_s(ticket)
-        run_time = self._run_time_by_route.setdefault(ticket.route, _RunTime())
+        run_time = self._run_time_by_route.setdefault(ticket.route, RunTime())
         relative = seconds / max(run_time.mean_s, 0.001)
         knee, slots = self.beside.knee, self.beside.slots
         above = knee.is_above(ticket.running_at_start, slots)
         if run_time.count:
             knee.add(relative, above)
         if not above or not run_time.count:
-            run_time.add(min(relative, OUTLIER) * run_time.mean_s if run_time.count else seconds)
+            run_time.add(run_time.cut(seconds))
         self._mean_run.add(seconds)
 
     def run_time_s(self, ticket: Ticket) -> float:
@@ -398,7 +340,7 @@
             self._queue.remove(ticket)
             ticket.waiting = False
             # The host may have turned slow since the request came.
-            if self._passes_back(ticket, now):
+            if ticket.may_pass_back and self.spells.surely_slow(now):
                 ticket.decided(Verdict.SLOW)
             elif now + self.run_s(ticket.route) * LEAST_RUN_SHARE > ticket.deadline:
                 ticket.decided(Verdict.TOO_LATE)
--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -26,8 +26,6 @@
 """Body bytes of such requests, so that one connection cannot take the node's memory."""
 IDLE_MARGIN_S = 2.0
 """How much longer than the document's idle limit a connection is kept: callers reuse until it."""
-STREAM_HIGH_BYTES = 256 << 10
-"""Unsent bytes of one connection above which no further answers are written."""
 LINGER_S = 0.5
 """How long what a refused caller still sends is read, so that it sees the answer."""
 
@@ -46,8 +44,6 @@
         Path and query as sent.
     read_at
         Seconds of the node's clock at which its first byte was read.
-    local
-        Address of the caller.
     """
 
     method: str
@@ -55,8 +51,6 @@
     headers: list[Header]
     body: bytes
     read_at: float
-    caller: str
-    deadline: float = float("inf")
 
     @property
     def path(self) -> str:
@@ -285,7 +279,7 @@
         last = self._ingress.closing or not self._parser.should_keep_alive()
         self._last_seen = last
         request = CallerRequest(
-            method, self._target, self._headers, b"".join(self._body), self._read_at, self._caller
+            method, self._target, self._headers, b"".join(self._body), self._read_at
         )
         self._read_at = self._ingress.clock.now()
         exchange = _Exchange(method == "HEAD", last, self._body_bytes)
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -5,26 +5,24 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Protocol
 
 from peridottrack import log
-from peridottrack.controllers.gate import GateController
-from peridottrack.exceptions import FrameRejected, LinkLost
+from peridottrack.exceptions import LinkLost
+from peridottrack.framecodec import encode
+from peridottrack.frameconnection import FrameConnection
 from peridottrack.frames import (
     Cancel,
     DocumentFrame,
     ForwardedRequest,
     Frame,
-    FrameReader,
-    FrameWriter,
     GateLoad,
     Hello,
     Hurry,
     InstanceAnswer,
     LinkPing,
     Refusal,
-    encode,
 )
+from peridottrack.gateroute import Hurried, Outcome
 from peridottrack.types import Clock, Endpoint, FailureDomain
 
 TICK_S = 0.1
@@ -49,9 +47,6 @@
 MAX_UNSENT_BYTES = 4 << 20
 """Unsent bytes above which a link takes no more requests."""
 
-Outcome = InstanceAnswer | Refusal
-Hurried = Callable[[], None]
-
 
 @dataclass(frozen=True, slots=True)
 class LinkHooks:
@@ -63,107 +58,16 @@
         Returns the document in force, None if there is none.
     take_document
         Called with a document that the other side sent.
-    version_heard
-        Called with a document version that the other side has.
     """
 
     document: Callable[[], DocumentFrame | None]
     take_document: Callable[[DocumentFrame], None]
 
 
-class GateRoute(Protocol):
-    """A way to a gate, over a link or within the process."""
-
-    domain: FailureDomain
-
-    @property
-    def load(self) -> GateLoad | None:
-        """What the gate said last."""
-        ...
-
-    @property
-    def heard_at(self) -> float:
-        """When it said anything, by this node's clock."""
-        ...
-
-    @property
-    def usable(self) -> bool:
-        """Whether requests may be sent now."""
-        ...
-
-    @property
-    def outstanding(self) -> int:
-        """Requests sent and not answered."""
-        ...
-
-    def sent_since_heard(self) -> int:
-        """Requests sent after the load figures came."""
-        ...
-
-    async def ask(self, request: ForwardedRequest, hurry: Hurried = lambda: None) -> Outcome:
-        """Send a request and wait for its outcome; cancelling it gives the request up.
-
-        Parameters
-        ----------
-        hurry
-            Called if a second send would be answered first.
-
-        Raises
-        ------
-        LinkLost
-            If the connection ended first; the request may have run.
-        """
-        ...
-
-
 def _nothing() -> None:
     """Take the place of a callback of a request that is over."""
 
 
-class LocalRoute:
-    """The gate of this very process."""
-
-    def __init__(self, gate: GateController, domain: FailureDomain, clock: Clock) -> None:
-        self._gate = gate
-        self._clock = clock
-        self.domain = domain
-        self.outstanding = 0
-
-    @property
-    def load(self) -> GateLoad | None:
-        """The gate's figures, always fresh."""
-        return self._gate.gate.load()
-
-    @property
-    def heard_at(self) -> float:
-        """Now."""
-        return self._clock.now()
-
-    @property
-    def usable(self) -> bool:
-        """A gate within the process is always reached."""
-        return True
-
-    def sent_since_heard(self) -> int:
-        """Nothing is unknown here."""
-        return 0
-
-    async def ask(self, request: ForwardedRequest, hurry: Hurried = lambda: None) -> Outcome:
-        """Hand a request to the gate and wait."""
-        answer: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
-        task = self._gate.start(request, answer.set_result, lambda news: hurry())
-        self.outstanding += 1
-        try:
-            found = await answer
-        except asyncio.CancelledError:
-            task.cancel()
-            raise
-        finally:
-            self.outstanding -= 1
-        assert isinstance(found, InstanceAnswer | Refusal)
-        return found
-
-
 class Link:
     """The connection to one other node's gate; connects again by itself."""
 
@@ -213,11 +117,6 @@
             and connection.unsent_bytes() < MAX_UNSENT_BYTES
         )
 
-    @property
-    def outstanding(self) -> int:
-        """Requests sent and not answered."""
-        return len(self._waiter_by_number)
-
     def _suspect(self, now: float) -> bool:
         return self._pinged_at > self.heard_at and now - self._pinged_at > SUSPECT_S
 
@@ -264,7 +163,7 @@
         self._connection = connection
         self._gone.clear()
         self.heard_at = self._ticked_at = self._clock.now()
-        connection.write(self._me())
+        connection.greet(self._me())
         log.event("link up", peer=str(self._endpoint))
         return connection
 
@@ -275,7 +174,7 @@
             return
         if now - self._ticked_at > STOOD_STILL_S:
             # This process stood still: what is heard next tells more than the silence.
-            connection.write(self._me())
+            connection.greet(self._me())
             self.heard_at = max(self.heard_at, now - PING_IDLE_S)
         self._ticked_at = now
         silent_s = now - self.heard_at
@@ -296,7 +195,7 @@
         if self._pinged_at <= self.heard_at:
             self._pinged_at = now
         self._pings += 1
-        connection.write(LinkPing(self._pings))
+        connection.write(encode(LinkPing(self._pings)))
 
     # -- what the connection reports ---------------------------------------------------
 
@@ -351,68 +250,45 @@
         self._waiter_by_number[request.number] = waiter
         self._sent_at_by_number[request.number] = self._clock.now()
         self._hurry_by_number[request.number] = hurry
-        connection.write(request)
+        connection.write(encode(request))
         try:
             return await waiter
         except asyncio.CancelledError:
             if self._forget(request.number) is not None:
-                connection.write(Cancel(request.number))
+                connection.write(encode(Cancel(request.number)))
             raise
 
     def send(self, frame: Frame) -> bool:
         """Send a frame that needs no answer; False if there is no connection."""
         if self._connection is None:
             return False
-        self._connection.write(frame)
+        self._connection.write(encode(frame))
         return True
 
 
-class _LinkConnection(asyncio.Protocol):
+class _LinkConnection(FrameConnection):
     """The connecting side's transport."""
 
     def __init__(self, link: Link) -> None:
+        super().__init__()
         self._link = link
-        self._reader = FrameReader()
-        self._writer = FrameWriter()
-        self._transport: asyncio.Transport | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+    @property
+    def other_side(self) -> str:
+        """The node that this one connected to."""
+        return self._link.peer
 
-    def data_received(self, data: bytes) -> None:
-        """Hand frames on."""
-        try:
-            for frame in self._reader.feed(data):
-                self._link.heard(frame)
-        except FrameRejected as error:
-            log.warning("frame rejected", node=self._link.peer, error=str(error))
-            self.close()
+    def take(self, frame: Frame) -> None:
+        """Hand a frame on."""
+        self._link.heard(frame)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the link."""
-        self._transport = None
+        super().connection_lost(exc)
         self._link.lost(self, str(exc or "closed by the other side"))
 
-    def unsent_bytes(self) -> int:
-        """Return what the other side has not taken yet."""
-        return self._transport.get_write_buffer_size() if self._transport is not None else 0
-
-    def write(self, frame: Frame) -> None:
-        """Send a frame unless the connection is gone."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(self._writer.wrap(encode(frame)))
-        if isinstance(frame, Hello) and frame.compressed:
-            self._reader.decompress()
-            self._writer.compress()
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Drop the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+    def greet(self, me: Hello) -> None:
+        """Say who this is; what follows is compressed if it says so."""
+        self.write(encode(me))
+        if me.compressed:
+            self.compress()
--- a/peridottrack/linkserver.py
+++ b/peridottrack/linkserver.py
@@ -5,21 +5,18 @@
 import asyncio
 from collections.abc import Callable
 
-from peridottrack import log
 from peridottrack.controllers.gate import GateController
-from peridottrack.exceptions import FrameRejected
+from peridottrack.framecodec import encode
+from peridottrack.frameconnection import FrameConnection
 from peridottrack.frames import (
     Cancel,
     DocumentFrame,
     ForwardedRequest,
     Frame,
-    FrameReader,
-    FrameWriter,
     Hello,
     LinkPing,
     LinkPong,
     WantDocument,
-    encode,
 )
 from peridottrack.link import LinkHooks
 from peridottrack.types import Clock, NodeId
@@ -87,63 +84,42 @@
             connection.close()
 
 
-class LinkServerConnection(asyncio.Protocol):
+class LinkServerConnection(FrameConnection):
     """One node that sends requests here."""
 
     def __init__(self, server: LinkServer) -> None:
+        super().__init__()
         self._server = server
-        self._reader = FrameReader()
-        self._writer = FrameWriter()
-        self._transport: asyncio.Transport | None = None
         self._held_up = _HeldUp()
         self.task_by_number: dict[int, asyncio.Task[None]] = {}
         self.asked_at = 0.0
         self.node = NodeId("")
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Wait for the other side's hello."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+    @property
+    def other_side(self) -> str:
+        """The node that connected, empty until its hello."""
+        return self.node
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up what the other side can no longer take."""
-        self._transport = None
+        super().connection_lost(exc)
         self._server.connections.discard(self)
         for task in self.task_by_number.values():
             task.cancel()
         self.task_by_number.clear()
 
-    def data_received(self, data: bytes) -> None:
-        """Handle the frames that are complete."""
-        try:
-            for frame in self._reader.feed(data):
-                handler = _SERVER_HANDLERS.get(type(frame))
-                if handler is not None:
-                    handler(self, frame)
-        except FrameRejected as error:
-            log.warning("frame rejected", node=self.node, error=str(error))
-            self.close()
-
-    def write(self, data: bytes) -> int:
-        """Send an encoded frame unless the connection is gone; return its bytes."""
-        if self._transport is None or self._transport.is_closing():
-            return 0
-        wrapped = self._writer.wrap(data)
-        self._transport.write(wrapped)
-        return len(wrapped)
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._transport is not None:
-            self._transport.close()
+    def take(self, frame: Frame) -> None:
+        """Handle a frame; what only the other side may take is ignored."""
+        handler = _SERVER_HANDLERS.get(type(frame))
+        if handler is not None:
+            handler(self, frame)
 
     def take_hello(self, frame: Hello) -> None:
         """Learn who it is."""
         self.node = frame.node
         self._held_up.reset()
         if frame.compressed:
-            self._reader.decompress()
-            self._writer.compress()
+            self.compress()
         self._server.connections.add(self)
         self.write(encode(self._server.gate.gate.load()))
         document = self._server.hooks.document()
--- a/peridottrack/membership.py
+++ b/peridottrack/membership.py
@@ -26,27 +26,36 @@
     Send,
 )
 from peridottrack.roster import BUCKET_COUNT, GONE_STATES, Roster
+from peridottrack.rumors import RUMOR_ROUNDS, Rumors, take_batch
 from peridottrack.types import NodeId, Random
 
 TICK_S = 0.25
+"""How often `Membership.tick` is called."""
 PING_EVERY_TICKS = 2
+"""Ticks between two pings to the neighbours, one of the two in turn."""
 PING_TIMEOUT_S = 0.45
 INDIRECT_TIMEOUT_S = 0.5
+"""How long an answer is waited for, directly and then through others."""
 INDIRECT_NODES = 3
+"""Nodes that are asked to ping one that did not answer."""
 SUSPICION_S = 2.5
+"""How long a node that answers nobody is asked on before it counts as dead."""
 ISOLATED_S = 1.5
+"""Time without any answer from which this node takes itself to be cut off."""
 FANOUT = 4
-RUMOR_ROUNDS = 3
-RUMOR_GAP_TICKS = 2
+"""Random nodes that are told of news in one round."""
 DATAGRAMS_PER_ROUND = 2
-DATAGRAM_ROOM_BYTES = 1_150
-UPDATE_BYTES = 75
-INSTANCE_BYTES = 60
+"""Datagrams to each of them, so that a burst of news does not burst the network."""
 MISMATCHES_TO_COMPARE = 3
+"""Differing digests in a row after which views are compared: right after news they differ."""
 COMPARE_GAP_S = 2.0
+"""Least time between two comparisons."""
 RECONTACT_GAP_S = 5.0
+"""Time between two pings to nodes beyond the neighbours."""
 FORGET_S = 6 * 3600.0
+"""How long a node that is gone is remembered: longer than regions are usually apart."""
 PAUSE_S = 1.0
+"""Time between two ticks from which this process itself is taken to have stood still."""
 
 
 @dataclass(slots=True)
@@ -59,14 +68,6 @@
     on_behalf_of: tuple[NodeId, int] | None = None
 
 
-@dataclass(slots=True)
-class _Spread:
-    """A rumour that is still told to others."""
-
-    rounds_left: int
-    next_tick: int
-
-
 class Membership:
     """One node's view of all nodes.
 
@@ -98,7 +99,7 @@
         self._number = 0
         self._roster = Roster()
         self._probe_by_number: dict[int, _Probe] = {}
-        self._spread_by_node: dict[NodeId, _Spread] = {}
+        self._rumors = Rumors()
         self._version_rounds_left = 0
         self._mismatches = 0
         self._compared_at = float("-inf")
@@ -153,8 +154,8 @@
 
     def forget_spread(self) -> None:
         """Tell nobody of what was taken in so far, since it came from where all can read it."""
-        self._spread_by_node.clear()
-        self._spread(self.me.node)
+        self._rumors.clear()
+        self._rumors.add(self.me.node, self._tick)
 
     # -- queries -----------------------------------------------------------------------
 
@@ -318,7 +319,7 @@
         if known is not None and not update.beats(known.update):
             return
         self._roster.put(update, self._now)
-        self._spread(update.node)
+        self._rumors.add(update.node, self._tick)
         self._changed(update)
 
     def _refute(self, update: MemberUpdate) -> None:
@@ -330,45 +331,21 @@
     def _say_of_me(self, me: MemberUpdate) -> None:
         self.me = me
         self._roster.put(me, self._now)
-        self._spread(me.node)
+        self._rumors.add(me.node, self._tick)
         self._changed(me)
 
-    def _spread(self, node: NodeId) -> None:
-        self._spread_by_node[node] = _Spread(RUMOR_ROUNDS, self._tick)
-
     def _tell_due(self) -> None:
-        due = [
-            node for node, spread in self._spread_by_node.items() if spread.next_tick <= self._tick
-        ]
+        due = self._rumors.due(self._tick)
         for _ in range(DATAGRAMS_PER_ROUND):
-            batch = self._take_batch(due)
+            batch = take_batch(due, self.member_by_node)
             if batch or self._version_rounds_left:
                 self._tell_round(batch)
 
-    def _take_batch(self, due: list[NodeId]) -> list[NodeId]:
-        """Take from the front as many as fit one datagram."""
-        room = DATAGRAM_ROOM_BYTES
-        count = 0
-        for node in due:
-            room -= _size(self.member_by_node[node].update)
-            if room < 0 and count:
-                break
-            count += 1
-        batch = due[:count]
-        del due[:count]
-        return batch
-
     def _tell_round(self, nodes: list[NodeId]) -> None:
         if self._version_rounds_left:
             self._version_rounds_left -= 1
-        updates = []
-        for node in nodes:
-            spread = self._spread_by_node[node]
-            spread.rounds_left -= 1
-            spread.next_tick = self._tick + RUMOR_GAP_TICKS
-            if spread.rounds_left <= 0:
-                del self._spread_by_node[node]
-            updates.append(self.member_by_node[node].update)
+        self._rumors.told(nodes, self._tick)
+        updates = [self.member_by_node[node].update for node in nodes]
         for receiver in self._sample(FANOUT, exclude=self.me.node):
             self._send(receiver, Rumor(), tuple(updates))
         for update in updates:
@@ -412,7 +389,7 @@
 
     def _send_buckets(self, receiver: NodeId, buckets: Iterable[int]) -> None:
         nodes = self._roster.in_buckets(buckets)
-        while batch := self._take_batch(nodes):
+        while batch := take_batch(nodes, self.member_by_node):
             told = tuple(self.member_by_node[node].update for node in batch)
             self._send(receiver, Rumor(), told)
 
@@ -420,7 +397,7 @@
 
     def _forget(self, node: NodeId) -> None:
         self._roster.remove(node)
-        self._spread_by_node.pop(node, None)
+        self._rumors.forget(node)
 
     def _sample(self, count: int, exclude: NodeId) -> list[NodeId]:
         return self._roster.sample(count, (exclude, self.me.node), self._rng)
@@ -437,8 +414,3 @@
     ) -> None:
         message = Message(self.me.node, body, self.document_version, self.digest(), updates)
         self._send_out(receiver, message)
-
-
-def _size(update: MemberUpdate) -> int:
-    """Return roughly the bytes of an update in a datagram."""
-    return UPDATE_BYTES + INSTANCE_BYTES * len(update.instances)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -19,16 +19,18 @@
 from peridottrack.controllers.gate import GateController
 from peridottrack.controllers.links import LinksController
 from peridottrack.controllers.members import Directory, MembersController, Reachable
+from peridottrack.controllers.poison import PoisonController
 from peridottrack.controllers.probe import Prober, meet
 from peridottrack.datagrams import Datagrams
 from peridottrack.debug import process_facts
 from peridottrack.dialect import Dialect
 from peridottrack.forward import Forwarder
 from peridottrack.frames import DocumentFrame, Hello
+from peridottrack.gateroute import LocalRoute
 from peridottrack.ingress import Ingress
-from peridottrack.link import LinkHooks, LocalRoute
+from peridottrack.link import LinkHooks
 from peridottrack.linkserver import LinkServer
-from peridottrack.messages import Crash, MemberState, MemberUpdate, Message
+from peridottrack.messages import MemberState, MemberUpdate
 from peridottrack.metrics import Metrics
 from peridottrack.placement import Placement
 from peridottrack.poison import PoisonList
@@ -39,7 +41,6 @@
     Clock,
     Endpoint,
     FailureDomain,
-    InstanceId,
     NodeId,
     Region,
     ServiceName,
@@ -253,8 +254,7 @@
         self.links = LinksController(self._hello, own, self.link_server, hooks, clock)
         self.gate.gate.changed = self.links.tell_load
         self.poison = PoisonList(clock, CRASHES_TO_HOLD)
-        self.poison.on_crash = self._tell_crash
-        self.datagrams.handle((Crash,), self._take_crash)
+        PoisonController(self.poison, self.members, self.datagrams)
         self.gate.crashed = self.poison.crashed
         self.forwarder = Forwarder(
             lambda: self.follow.table,
@@ -329,19 +329,9 @@
         self.members.set_document_version(table.version)
         if from_store:
             self.links.tell_document(frame)
-
         if not self.beside.heard:
             self._spawn(meet(self.prober, self.beside, ServiceName(self.settings.service)))
 
-    def _tell_crash(self, mark: str, instance: InstanceId) -> None:
-        message = Message(self.members.membership.me.node, Crash(mark, instance))
-        for peer in self.members.crash_listeners():
-            self.datagrams.send(peer, message)
-
-    def _take_crash(self, message: Message) -> None:
-        assert isinstance(message.body, Crash)
-        self.poison.heard(message.body.fingerprint, message.body.instance)
-
     def _health_path(self) -> str | None:
         table = self.follow.table
         rule = table.service_by_name.get(ServiceName(self.settings.service)) if table else None
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -30,6 +30,7 @@
 from peridottrack.controllers.load import WAKE_INTERVAL_S, LoadController
 from peridottrack.controllers.measuring import MeasuringController
 from peridottrack.controllers.members import MembersController, Reachable, TableDirectory
+from peridottrack.controllers.poison import PoisonController
 from peridottrack.datagrams import Datagrams
 from peridottrack.debug import process_facts
 from peridottrack.document import Document
@@ -44,12 +45,12 @@
 from peridottrack.filters.route import RouteFilter
 from peridottrack.front import Front
 from peridottrack.journal import JournalClaims
-from peridottrack.messages import Crash, MemberState, MemberUpdate, Message
+from peridottrack.messages import MemberState, MemberUpdate
 from peridottrack.metrics import Metrics
 from peridottrack.platform_http import HttpObjects, HttpTable
 from peridottrack.poison import PoisonList
 from peridottrack.store import GuardedTable
-from peridottrack.types import Clock, FailureDomain, InstanceId, NodeId, Region
+from peridottrack.types import Clock, FailureDomain, NodeId, Region
 from peridottrack.wire import Sealer
 
 CONNECT_TIMEOUT_S = 1.0
@@ -221,8 +222,7 @@
 
         self.members.reachable.subscribe(take_reachable)
         self.document.documents.subscribe(take_document)
-        self.datagrams.handle((Crash,), self._take_crash)
-        self.poison.on_crash = self._tell_crash
+        PoisonController(self.poison, self.members, self.datagrams)
 
     def _build_front(self) -> None:
         reused = self._session(
@@ -302,14 +302,3 @@
             "process": process_facts,
             "poison": lambda: {"held_off": self.poison.held_marks()},
         }
-
-    # -- poison requests ---------------------------------------------------------------
-
-    def _tell_crash(self, mark: str, instance: InstanceId) -> None:
-        message = Message(self.members.membership.me.node, Crash(mark, instance))
-        for peer in self.members.crash_listeners():
-            self.datagrams.send(peer, message)
-
-    def _take_crash(self, message: Message) -> None:
-        assert isinstance(message.body, Crash)
-        self.poison.heard(message.body.fingerprint, message.body.instance)
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 
 from peridottrack.frames import GateLoad
-from peridottrack.link import GateRoute
+from peridottrack.gateroute import GateRoute
 from peridottrack.spells import SLOW, expected_slowdown
 from peridottrack.types import Clock, FailureDomain, InstanceId, Random
 
@@ -25,6 +25,8 @@
 """Weight of one outcome in the moving share of failures."""
 FAILURE_HALF_LIFE_S = 2.0
 """Time in which half of a bad record is forgotten, so that a healed instance is tried again."""
+FORGOTTEN = 0.001
+"""Share of failures from which a record changes no choice."""
 TIE_NOISE = 0.04
 """Random share added to a cost, so that nodes do not all choose the same instance."""
 
@@ -124,12 +126,18 @@
     def ended(self, instance: InstanceId, failed: bool) -> None:
         """Take in how a request at an instance ended."""
         now = self._clock.now()
-        self._record_by_instance.setdefault(instance, Record(at=now)).add(failed, now)
-
-    def keep_only(self, instances: Collection[InstanceId]) -> None:
-        """Forget instances that are gone."""
-        for instance in list(self._record_by_instance):
-            if instance not in instances:
+        record = self._record_by_instance.get(instance)
+        if record is None:
+            if not failed:
+                return
+            self._forget_healed(now)
+            record = self._record_by_instance[instance] = Record(at=now)
+        record.add(failed, now)
+
+    def _forget_healed(self, now: float) -> None:
+        """Drop records that tell nothing any more, also those of instances that are gone."""
+        for instance, record in list(self._record_by_instance.items()):
+            if record.share(now) < FORGOTTEN:
                 del self._record_by_instance[instance]
 
     def _expect(self, route: GateRoute, load: GateLoad, run_s: float, now: float) -> Choice:
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -227,7 +227,6 @@
         self._endpoint = endpoint
         self._clock = clock
         self._idle: deque[InstanceConnection] = deque()
-        self.opened = 0
 
     async def acquire(self, once: bool) -> InstanceConnection:
         """Return a connection that nothing is sent on.
@@ -288,5 +287,4 @@
         except (OSError, TimeoutError) as error:
             raise NotConnected(f"{self._endpoint}: {error!r}") from error
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.opened += 1
         return connection
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -71,7 +71,7 @@
         Metrics(),
     )
     headers = [(b"Host", b"shop"), (dialect.request_id.encode(), b"r1")]
-    request = CallerRequest("GET", path, headers, b"", clock.now(), "127.0.0.1")
+    request = CallerRequest("GET", path, headers, b"", clock.now())
     return await forwarder.handle(request)
 
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -8,14 +8,17 @@
 
 from peridottrack.errors import ErrorKind, Ran
 from peridottrack.exceptions import FrameRejected
-from peridottrack.frames import (
+from peridottrack.framecodec import (
     LENGTH,
     MAX_FRAME_BYTES,
+    FrameReader,
+    FrameWriter,
+    encode,
+)
+from peridottrack.frames import (
     Cancel,
     DocumentFrame,
     ForwardedRequest,
-    FrameReader,
-    FrameWriter,
     GateLoad,
     Hello,
     InstanceAnswer,
@@ -23,7 +26,6 @@
     LinkPong,
     Refusal,
     WantDocument,
-    encode,
 )
 from peridottrack.headerblock import forwarded, pack, unpack
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -165,9 +165,8 @@
     log = []
     movable, bound = ticket(log), ticket(log)
     movable.may_pass_back = True
-    movable.host_silent = bound.host_silent = True
-    gate.ask(movable, "i-1")
-    gate.ask(bound, "i-1")
+    gate.ask(movable, "i-1", host_silent=True)
+    gate.ask(bound, "i-1", host_silent=True)
     assert log == [Verdict.SLOW, Verdict.RUN]
 
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from peridottrack.dialect import LoadFigures
+from peridottrack.runtimes import RunTime
 
 
 @pytest.fixture
@@ -167,7 +168,7 @@
     await second.announce(world.session, born=5_000)
     await until(lambda: sum(route.load.open for route in routes(first)) == 2)
     first.instance.script.load = "1,0,18,500"
-    first.node.forwarder._run_s_by_route["read"] = 0.2
+    first.node.forwarder._run_time_by_route["read"] = RunTime(0.2)
     first.node.gate.gate.run_s = lambda route: 0.2
     before = len(second.instance.runs)
     await asyncio.sleep(0.3)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -144,3 +144,12 @@
     choice = placement.choose(ways, RUN_S, TARGET_S)
     assert choice.load.instance == "chosen"
     assert (choice.well_elsewhere, choice.room_elsewhere) == (well, room)
+
+
+def test_records_of_instances_that_are_gone_or_healed_do_not_pile_up(placement, clock):
+    for number in range(100):
+        placement.ended(f"i-{number}", True)
+        placement.ended(f"well-{number}", False)
+        clock.advance(1.0)
+    # A record of one failure is forgotten after some 16 s.
+    assert len(placement._record_by_instance) < 20
