--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SECONDS ?= 20
 HOSTS ?= 5
 
-.PHONY: help setup demo test lint format pins dist soak-claims soak soak-checks counts capacity bench-hop bench-choice bench-claims bench-members
+.PHONY: help setup demo test lint format pins dist soak-claims soak soak-seeds soak-checks counts capacity bench-hop bench-choice bench-claims bench-members
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F ':.*## ' '{printf "  make %-14s %s\n", $$1, $$2}'
@@ -48,6 +48,9 @@
 soak: setup ## Play the fault soak (SEEDS, SECONDS, HOSTS; SEED=the first one)
 	cd tests && ../$(PY) -m soak --seeds $(SEEDS) --seconds $(SECONDS) --hosts $(HOSTS) $(if $(SEED),--seed $(SEED) --seeds 1)
 
+soak-seeds: setup ## Play the seeds again that ever failed
+	cd tests && ../$(PY) -m soak --listed
+
 soak-checks: setup ## Check that the soak finds each broken node
 	cd tests && for name in $$(../$(PY) -m soak.broken --list); do ../$(PY) -m soak --quiet --seeds 5 --seed 1 --hosts 4 --seconds 10 --broken $$name || exit 1; done
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,7 @@
 @click.option("--seconds", default=20.0, show_default=True, help="Time with faults, each seed.")
 @click.option("--broken", type=click.Choice(sorted(SWITCHES)), help="Run a broken node instead.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Folder for logs; kept if broken.")
+@click.option("--listed", is_flag=True, help="Play the seeds of seeds.txt again.")
 @click.option("--quiet", is_flag=True, help="Print outcomes only.")
 def main(
     seed: int | None,
@@ -29,13 +30,14 @@
     seconds: float,
     broken: str | None,
     logs: Path | None,
+    listed: bool,
     quiet: bool,
 ) -> None:
     """Play seeds; the exit code is 1 if a promise was broken, 2 if a broken node went unseen."""
     first = random.SystemRandom().randrange(1 << 30) if seed is None else seed
     say = (lambda line: None) if quiet else click.echo
     outcomes = []
-    for number in range(first, first + seeds):
+    for number in _listed() if listed else range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(dir=logs, prefix=f"soak-{number}-"))
         outcome = asyncio.run(soak(number, hosts, seconds, folder, say, broken or ""))
         outcomes.append(outcome)
@@ -44,9 +46,17 @@
             click.echo(
                 f"  logs: {folder}; read with: peridottrack explain REQUEST {folder}/*/log-*"
             )
+        if broken is not None and _exit_code(outcomes, broken) == 0:
+            break
     sys.exit(_exit_code(outcomes, broken))
 
 
+def _listed() -> list[int]:
+    """Return the seeds that ever failed."""
+    lines = Path(__file__).with_name("seeds.txt").read_text().splitlines()
+    return [int(line.partition(":")[0]) for line in lines]
+
+
 def _exit_code(outcomes: list[Outcome], broken: str | None) -> int:
     found = {one.promise for outcome in outcomes for one in outcome.violations}
     if broken is None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -76,6 +76,7 @@
             (self._instance_leaves, 2.0),
             (self._instance_temper, 3.0),
             (self._instance_slow, 1.0),
+            (self._instances_lose, 1.0),
             (self._accept, 3.0),
         ]
         work = [kind for kind, _ in kinds]
@@ -193,7 +194,7 @@
         host = self._host()
         if host.leaving or sum(one.leaving for one in self.site.hosts) > len(self.site.hosts) // 3:
             return
-        host.leaving = True
+        self.site.leave(host)
         self._tell(host, f"instance {host.instance.name} leaves")
         await asyncio.sleep(LEAVE_S)
         # Without an acknowledgement it goes on to say that it leaves.
@@ -207,6 +208,15 @@
         self._tell(host, f"instance: {temper}")
         setattr(host.instance.script, temper, self.rng.randint(1, LOSSES))
 
+    async def _instances_lose(self) -> None:
+        """Let all instances lose answers for a while, which tempts nodes to send again."""
+        self._tell(None, "all instances lose answers")
+        until = asyncio.get_running_loop().time() + self._lasts_s()
+        while asyncio.get_running_loop().time() < until:
+            for host in self.site.hosts:
+                host.instance.script.lose = 1
+            await asyncio.sleep(WORK_S)
+
     async def _instance_slow(self) -> None:
         host = self._host()
         self._tell(host, "instance slow")
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -212,12 +212,18 @@
             self.left_at.setdefault(name, time.monotonic())
         return known
 
+    def leave(self, host: SoakHost) -> None:
+        """Let an instance begin to leave; from then on its health says so too."""
+        host.leaving = True
+        host.instance.script.healthy = False
+
     async def replace(self, host: SoakHost) -> None:
         """Let another instance take the place of one that has left."""
         host.births += 1
         host.sequence = 0
         host.instance.name = f"i-{host.number}.{host.births}"
         host.leaving = False
+        host.instance.script.healthy = True
 
     async def ready(self, host: SoakHost) -> bool:
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -157,6 +157,14 @@
     server.close()
 
 
+async def test_an_instance_that_leaves_says_so_with_its_health_too(promises):
+    site, host = promises.site, promises.site.hosts[0]
+    site.leave(host)
+    assert not host.instance.script.healthy
+    await site.replace(host)
+    assert (host.instance.name, host.instance.script.healthy) == ("i-0.2", True)
+
+
 async def test_a_short_run_keeps_all_promises(tmp_path):
     outcome = await soak(CI_SEED, CI_HOSTS, CI_SECONDS, tmp_path)
     assert outcome.violations == [], outcome.text()
