Logs tell which requests a shutdown cut and what it waited for

Cause: a request whose connection was closed left no line, and "node left" told only that not all requests had ended.

Change: "request cancelled" for each request that ends without a response, with the time that it had left and whether the node was leaving; "node left" has the times at which the gate closed and became idle and the connections were closed, the number of requests read since SIGTERM with the time of the last one, and the number cut.

No decision changes.

--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -67,7 +67,16 @@
     ),
     "node left": Event(
         "The shutdown is complete.",
-        {"idle": "whether all requests ended in time", "took_s": "seconds since SIGTERM"},
+        {
+            "idle": "whether all requests ended in time",
+            "took_s": "seconds since SIGTERM",
+            "gate_closed_s": "seconds from SIGTERM until the gate closed",
+            "gate_idle_s": "seconds from SIGTERM until the last request at the gate had ended",
+            "closing_s": "seconds from SIGTERM until connections were closed",
+            "read": "callers' requests read since SIGTERM",
+            "last_read_s": "seconds from SIGTERM until the last one, 0 if there was none",
+            "cut": "callers' requests whose connection was closed without a response",
+        },
     ),
     "settings changed": Event(
         "The settings file changed and is valid.",
@@ -210,6 +219,20 @@
         },
         LogPolicy.LIMITED,
     ),
+    "request cancelled": Event(
+        "A request ended without a response: its caller disconnected, or this node stopped.",
+        {
+            **_REQUEST,
+            "route": "name of the route",
+            "service": "service of the request",
+            "leaving": "whether this node is shutting down",
+            "sent_to": "instances that may have run it, except by the send that was cancelled",
+            "refused_by": "instances whose gates declined or rejected it without running it",
+            "waited_s": "seconds since the first byte of the request was read",
+            "left_s": "seconds left until its deadline",
+        },
+        LogPolicy.LIMITED,
+    ),
     "request failed": Event(
         "An unexpected exception in the node ended a request.", {"error": "the exception"}
     ),
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -90,6 +90,7 @@
         self.refuse = self._replies.refuse  # answers input that is not a valid request
         self._resend_budget_by_service: dict[ServiceName, ResendBudget] = {}
         self.nodes = 1  # nodes that share the resend budgets
+        self.leaving = False  # whether this node is shutting down
         self._request_id_header = header_names.request_id.encode()
         self._replaced_headers = frozenset(
             name.encode()
@@ -147,7 +148,11 @@
             state.last_kind = ErrorKind.HELD_OFF
             state.retry_after_s = RETRY_AFTER_MAX_S
             return self._abandon(state)
-        return await self._forward(state)
+        try:
+            return await self._forward(state)
+        except asyncio.CancelledError:
+            forwardlog.cancelled(state, self._clock.now(), self.leaving)
+            raise
 
     def _choose_service(self, request: CallerRequest, route: Route) -> ServiceName:
         if len(route.shares) == 1:
--- a/peridottrack/forwardlog.py
+++ b/peridottrack/forwardlog.py
@@ -49,3 +49,18 @@
         waited_s=round(now - state.request.received_at, 4),
         left_s=round(state.deadline - now, 4),
     )
+
+
+def cancelled(state: ForwardState, now: float, leaving: bool) -> None:
+    """Log a request that ends without a response, since its connection was closed."""
+    log.event(
+        "request cancelled",
+        request=state.request_id,
+        route=state.route.name,
+        service=state.service,
+        leaving=leaving,
+        sent_to=state.sent_to,
+        refused_by=sorted(state.refused_by | state.declined_by),
+        waited_s=round(now - state.request.received_at, 4),
+        left_s=round(state.deadline - now, 4),
+    )
--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -108,6 +108,15 @@
         Handles one request; must not raise.
     make_rejection
         Builds the response to invalid input from a status and a reason.
+
+    Attributes
+    ----------
+    in_flight
+        Number of requests that were read and are not answered yet.
+    read_while_closing
+        Number of requests read since `begin_close`.
+    last_read_at
+        Time of the node's clock, in seconds, at which the last request was read.
     """
 
     def __init__(self, handler: Handler, make_rejection: MakeRejection, clock: Clock) -> None:
@@ -117,6 +126,8 @@
         self.limits = CallerLimits()
         self.closing = False
         self.in_flight = 0
+        self.read_while_closing = 0
+        self.last_read_at = float("-inf")
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -128,6 +139,12 @@
         )
         return int(self._server.sockets[0].getsockname()[1])
 
+    def record_read(self) -> None:
+        """Count a request that was read completely."""
+        self.in_flight += 1
+        self.read_while_closing += self.closing
+        self.last_read_at = self.clock.now()
+
     def begin_close(self) -> None:
         """From now on, close a connection with the response to its last pending request.
 
@@ -304,7 +321,7 @@
         exchange = _Exchange(method == "HEAD", last, self._body_bytes)
         self._pending_body_bytes += self._body_bytes
         self._exchanges.append(exchange)
-        self._ingress.in_flight += 1
+        self._ingress.record_read()
         exchange.task = asyncio.create_task(self._handle(exchange, request))
         self._update_reading()
 
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -179,14 +179,16 @@
         started_at = self._clock.now()
         deadline = started_at + self.settings.shutdown_s - CLOSE_MARGIN_S
         log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._gate_requests)
-        self._leaving = True
+        self._leaving = self.forwarder.leaving = True
         self.ingress.begin_close()
         # The gate stays open while the platform notices that this node is not ready, so that other
         # nodes can use the local instance as long as possible.
         await self._wait_until(self._platform_knows_unready, deadline - GATE_CLOSE_MARGIN_S)
         self.gate_controller.gate.stopping = True
         self.gate_controller.gate.close()
+        gate_closed_at = self._clock.now()
         await self._wait_until(lambda: not self._gate_requests, deadline)
+        gate_idle_at = self._clock.now()
         # Not earlier: while its requests run, the local instance may call other services through
         # this node.
         self.ingress.close_idle()
@@ -194,9 +196,21 @@
             lambda: not self.ingress.in_flight and not self._gate_requests, deadline
         )
         idle = not self.ingress.in_flight and not self._gate_requests
+        cut = self.ingress.in_flight
+        closing_at = self._clock.now()
         self.members.membership.leave(self._clock.now())
         await self.close()
-        log.event("node left", idle=idle, took_s=round(self._clock.now() - started_at, 3))
+        log.event(
+            "node left",
+            idle=idle,
+            took_s=round(self._clock.now() - started_at, 3),
+            gate_closed_s=round(gate_closed_at - started_at, 3),
+            gate_idle_s=round(gate_idle_at - started_at, 3),
+            closing_s=round(closing_at - started_at, 3),
+            read=self.ingress.read_while_closing,
+            last_read_s=round(max(0.0, self.ingress.last_read_at - started_at), 3),
+            cut=cut,
+        )
         log.flush_pending()
         return idle
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,6 +9,7 @@
 import os
 from pathlib import Path
 
+import aiohttp
 import logbook
 import pytest
 from click.testing import CliRunner
@@ -166,6 +167,29 @@
     ] == "request given up"
 
 
+async def test_cut_by_a_shutdown(world, lines):
+    """The logs show which request a shutdown cut off, and what the shutdown waited for."""
+    other = world.hosts[1]
+    leaving = await world.add("i-leaving", shutdown_s=1.0)
+    await world.settle()
+    for host in (world.hosts[0], leaving):
+        host.node.gate_controller.gate.close()
+    other.instance.script.work_s = 3.0
+    request = asyncio.create_task(world.call(leaving, "/order/1", "POST"))
+    while not other.instance.runs:
+        await asyncio.sleep(0.01)
+    assert not await leaving.node.leave()
+    with pytest.raises(aiohttp.ServerDisconnectedError):
+        await request
+    request_id = other.instance.runs[0].headers[b"request-id"].decode()
+    timeline = read_timeline(request_id, [lines.file()])
+    cancelled = next(entry for entry in timeline if entry.event == "request cancelled")
+    assert cancelled.fields["leaving"] and cancelled.fields["left_s"] > 0
+    left = next(line for line in map(json.loads, lines.lines) if line["event"] == "node left")
+    assert (left["cut"], left["read"], left["idle"]) == (1, 0, False)
+    assert left["gate_closed_s"] <= left["gate_idle_s"] <= left["closing_s"] <= left["took_s"]
+
+
 async def test_late_because_an_instance_became_slow(world, lines):
     """The logs show the cause: the run started in a slow period and could not be sent again."""
     first, second = world.hosts
