A shutdown answers every request that it has read

Cause: the end of a shutdown was no deadline of the requests. The gate stopped 3 s before it, but the listener for callers read requests until the gate was idle, and a request kept its caller's deadline, so that it queued or began to run at another gate for an answer that its own node could no longer pass on. At the end all connections were closed.

Why it works: from SIGTERM the end of the shutdown bounds every deadline. Gates and instances get it with the request, so the forecast refuses in time what would end later; sends in progress end with it, are cancelled, and are answered 502 (node_stopped).

--- a/peridottrack/errors.py
+++ b/peridottrack/errors.py
@@ -47,6 +47,7 @@
     INSTANCE_SLOW = "instance_slow"
     INSTANCE_BUSY = "instance_busy"
     DEADLINE_PASSED = "deadline_passed"
+    NODE_STOPPED = "node_stopped"
     HELD_OFF = "held_off"
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
@@ -95,6 +96,7 @@
     ErrorKind.INSTANCE_SLOW: ResponseRule(503, Ran.NO, "The instance's host is slow now", 1),
     ErrorKind.INSTANCE_BUSY: ResponseRule(503, Ran.NO, "The instance has no room now", 1),
     ErrorKind.DEADLINE_PASSED: ResponseRule(504, Ran.UNKNOWN, "The deadline passed while it ran"),
+    ErrorKind.NODE_STOPPED: ResponseRule(502, Ran.UNKNOWN, "This node stopped before it ended"),
     ErrorKind.HELD_OFF: ResponseRule(503, Ran.NO, "This request made instances fail", 30),
     ErrorKind.UPSTREAM_SHED: ResponseRule(503, Ran.NO, "The upstream declined to run it", 1),
     ErrorKind.UPSTREAM_UNREACHABLE: ResponseRule(503, Ran.NO, "No connection to an upstream", 1),
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -28,8 +28,6 @@
 from peridottrack.trafficsplit import TrafficSplitter, split_point
 from peridottrack.types import Clock, InstanceId, Random, ServiceName
 
-OUTCOME_MARGIN_S = 0.1
-"""How long past the deadline to wait for the outcome, which says whether the request ran."""
 MAX_DECLINES = 4
 """Maximum number of gates that may decline a request, since each decline costs a round trip."""
 INITIAL_RUN_SHARE = 0.4
@@ -90,7 +88,9 @@
         self.refuse = self._replies.refuse  # answers input that is not a valid request
         self._resend_budget_by_service: dict[ServiceName, ResendBudget] = {}
         self.nodes = 1  # nodes that share the resend budgets
-        self.leaving = False  # whether this node is shutting down
+        self._active: set[ForwardState] = set()
+        self._answer_by = float("inf")
+        self._refuses_later_deadlines = False
         self._request_id_header = header_names.request_id.encode()
         self._replaced_headers = frozenset(
             name.encode()
@@ -110,6 +110,27 @@
         for budget in self._resend_budget_by_service.values():
             budget.set_limits(ratio, slack, window_s)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether all requests must be answered by a certain time, since the node shuts down."""
+        return self._answer_by < float("inf")
+
+    def limit_deadlines(self, answer_by: float) -> None:
+        """Move all deadlines after ``answer_by`` to it, also those of requests still to be read.
+
+        What cannot be answered by then is refused as not run, or cancelled and answered as unknown.
+        """
+        self._answer_by = answer_by
+        for state in self._active:
+            state.limit_deadline(answer_by)
+
+    def refuse_later_deadlines(self) -> None:
+        """From now on, refuse requests whose own deadline is after that of `limit_deadlines`.
+
+        The others, such as the calls of running requests, are certain to be answered before it.
+        """
+        self._refuses_later_deadlines = True
+
     async def handle(self, request: CallerRequest) -> BufferedResponse:
         """Answer one request; raises nothing but `asyncio.CancelledError`."""
         try:
@@ -144,15 +165,23 @@
             request.received_at + route.target_s - self._caller_deadlines.elapsed_s(request, route),
             self._caller_header + pack(end_to_end_headers(request.headers, self._replaced_headers)),
         )
+        if self._refuses_later_deadlines and state.deadline > self._answer_by:
+            state.last_kind = ErrorKind.DRAINING
+            state.retry_after_s = self._answer_by - self._clock.now()
+            return self._abandon(state)
+        state.limit_deadline(self._answer_by)
         if not self._poison.empty and self._poison.quarantine_left_s(fingerprint_of(request)) > 0:
             state.last_kind = ErrorKind.HELD_OFF
             state.retry_after_s = RETRY_AFTER_MAX_S
             return self._abandon(state)
+        self._active.add(state)
         try:
             return await self._forward(state)
         except asyncio.CancelledError:
             forwardlog.cancelled(state, self._clock.now(), self.leaving)
             raise
+        finally:
+            self._active.discard(state)
 
     def _choose_service(self, request: CallerRequest, route: Route) -> ServiceName:
         if len(route.shares) == 1:
@@ -227,7 +256,7 @@
         instance = choice.load.instance
         frame = self._frame(state, choice, started_at)
         try:
-            async with asyncio.timeout_at(state.deadline + OUTCOME_MARGIN_S):
+            async with asyncio.timeout_at(state.outcome_by) as state.send_timeout:
                 if not state.route.idempotent:
                     outcome = await choice.route.send_request(frame)
                     return self._handle_outcome(state, instance, outcome)
@@ -236,10 +265,13 @@
             why = "no outcome by the deadline"
             log.event("send lost", request=state.request_id, instance=instance, why=why)
             state.record_possible_run(instance)
-            state.last_kind = ErrorKind.DEADLINE_PASSED
+            limited = state.deadline_limited
+            state.last_kind = ErrorKind.NODE_STOPPED if limited else ErrorKind.DEADLINE_PASSED
             self._placement.record_outcome(instance, True)
         except LinkLost as error:
             self._handle_link_loss(state, instance, error)
+        finally:
+            state.send_timeout = None
         return None
 
     async def _send_hedged(
--- a/peridottrack/forwardstate.py
+++ b/peridottrack/forwardstate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 from peridottrack.errors import ErrorKind
@@ -10,8 +11,11 @@
 from peridottrack.routing import Route
 from peridottrack.types import InstanceId, ServiceName
 
+OUTCOME_MARGIN_S = 0.1
+"""How long past the deadline to wait for the outcome, which says whether the request ran."""
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, eq=False)
 class ForwardState:
     """A request, the sends made for it so far and their results.
 
@@ -35,6 +39,10 @@
         Whether an instance may have run it, so that it must not be reported as not run.
     error_response
         Last error response of an instance, for the caller if no other send succeeds.
+    deadline_limited
+        Whether the deadline was moved forward, since this node shuts down.
+    send_timeout
+        Timeout of the send in progress, None between two sends.
     """
 
     request: CallerRequest
@@ -52,6 +60,25 @@
     may_have_run: bool = False
     reached_instance: bool = False
     error_response: BufferedResponse | None = None
+    deadline_limited: bool = False
+    send_timeout: asyncio.Timeout | None = None
+
+    @property
+    def outcome_by(self) -> float:
+        """Time of the node's clock until which the outcome of a send is waited for."""
+        return self.deadline + OUTCOME_MARGIN_S
+
+    def limit_deadline(self, latest: float) -> None:
+        """Move the deadline forward to ``latest`` if it is later, also that of a send in progress.
+
+        The instance keeps the deadline that it was sent.
+        """
+        if latest >= self.deadline:
+            return
+        self.deadline = latest
+        self.deadline_limited = True
+        if self.send_timeout is not None and not self.send_timeout.expired():
+            self.send_timeout.reschedule(self.outcome_by)
 
     def record_possible_run(self, instance: InstanceId) -> None:
         """Record an instance that received the request and did not report it as not run."""
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -61,6 +61,8 @@
 were opened before it."""
 CLOSE_MARGIN_S = 0.4
 """Seconds at the end of ``shutdown_s`` that are reserved for closing connections."""
+ANSWER_MARGIN_S = 0.2
+"""Seconds before that in which the last requests get their response: above `OUTCOME_MARGIN_S`."""
 LINK_STARTUP_S = 3.0
 """Seconds after a start in which links may still be connecting.
 
@@ -179,13 +181,15 @@
         started_at = self._clock.now()
         deadline = started_at + self.settings.shutdown_s - CLOSE_MARGIN_S
         log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._gate_requests)
-        self._leaving = self.forwarder.leaving = True
+        self._leaving = True
         self.ingress.begin_close()
+        self.forwarder.limit_deadlines(deadline - ANSWER_MARGIN_S)
         # The gate stays open while the platform notices that this node is not ready, so that other
         # nodes can use the local instance as long as possible.
         await self._wait_until(self._platform_knows_unready, deadline - GATE_CLOSE_MARGIN_S)
         self.gate_controller.gate.stopping = True
         self.gate_controller.gate.close()
+        self.forwarder.refuse_later_deadlines()
         gate_closed_at = self._clock.now()
         await self._wait_until(lambda: not self._gate_requests, deadline)
         gate_idle_at = self._clock.now()
