Journals: a withdrawn claim is never granted, however late it arrives

Cause: a request that arrives after its own withdrawal. A claim sent to a paused owner is withdrawn at the next one, and the paused owner handles it when it wakes. The void entry of another attempt at the key took its place, and a withdrawal that found the key held by another attempt left no mark at all. In both cases the late claim was granted to an attempt that nobody runs and nobody ends.

Mend: the key's entry names all withdrawn attempts. No mark is needed once the key is done or unknown, since it is then never claimed again. Nothing else decides who is granted a claim, so at most once rests on the fence as before.

--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -12,7 +12,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from peridottrack import log
@@ -51,6 +51,8 @@
 ROWS_TO_COMPACT = 1_000
 DELETES_PER_TRANSACTION = 50
 RETENTION_S = 24 * 3600.0
+FINAL_STATES = frozenset({ClaimState.DONE, ClaimState.UNKNOWN})
+"""States in which a key is never claimed again."""
 
 
 @dataclass(slots=True)
@@ -102,8 +104,7 @@
         held = self._entry(entry.record.id)
         if held is not None and held.record.state is not ClaimState.VOID:
             return ClaimReply(ClaimStatus.HELD, record=held.record)
-        if held is not None and held.writer == entry.writer:
-            # The claim arrived after its own withdrawal.
+        if held is not None and entry.writer in held.withdrawn:
             return ClaimReply(ClaimStatus.REFUSED)
         outcome = await self._append(entry)
         handle = ClaimHandle(entry.record, entry.writer, 0)
@@ -119,8 +120,8 @@
         Parameters
         ----------
         withdraw
-            Whether the claim may never have been written; if so, a void entry is appended so
-            that it cannot be granted later.
+            Whether the claim may never have been written; if so, the attempt is marked as
+            withdrawn, so that it cannot be granted later.
         """
         if not await self._ensure_owned() or entry.record.id.text in self._pending_by_id:
             return False
@@ -128,10 +129,15 @@
         if held is not None and held.writer == entry.writer:
             if held.record.state is not ClaimState.CLAIMED:
                 return True
-        elif not withdraw or (held is not None and held.record.state is not ClaimState.VOID):
-            # Another attempt holds the key, or no entry exists: this claim has ended already or
-            # was never written, unless the state in memory is stale.
+        elif held is not None and entry.writer in held.withdrawn:
+            return True
+        elif not withdraw or (held is not None and held.record.state in FINAL_STATES):
+            # This claim has ended already or was never written, and it cannot be granted later,
+            # unless the state in memory is stale.
             return await self._is_still_owner()
+        elif held is not None and held.record.state is ClaimState.CLAIMED:
+            # Another attempt holds the key and may void it, so this one must be marked as well.
+            entry = replace(held, withdrawn=frozenset({entry.writer}))
         return await self._append(entry) is WriteOutcome.APPLIED
 
     async def _is_still_owner(self) -> bool:
@@ -153,7 +159,7 @@
     async def _append(self, entry: JournalEntry) -> WriteOutcome:
         done: asyncio.Future[WriteOutcome] = asyncio.get_running_loop().create_future()
         self._pending.append(_PendingEntry(entry, done))
-        self._pending_by_id[entry.record.id.text] = entry
+        self._pending_by_id[entry.record.id.text] = entry.after(self._entry(entry.record.id))
         if self._flush_task is None or self._flush_task.done():
             self._flush_task = asyncio.ensure_future(self._flush())
         return await done
@@ -185,7 +191,8 @@
         settled = await transact_settled(self._table, writes, batch_key, new_writer_id())
         if settled.outcome is WriteOutcome.APPLIED:
             state.next_sequence += 1
-            state.entry_by_id.update({entry.record.id.text: entry for entry in entries})
+            for entry in entries:
+                state.apply(entry)
         elif settled.outcome is not WriteOutcome.REFUSED:
             # Another node took over, or the outcome of the append is unknown: only a takeover with
             # a new epoch shows what the journal contains.
--- a/peridottrack/shards.py
+++ b/peridottrack/shards.py
@@ -4,9 +4,10 @@
 
 import base64
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Any
 
-from peridottrack.claims import AuditEntry, ClaimId, ClaimRecord, hash_key
+from peridottrack.claims import AuditEntry, ClaimId, ClaimRecord, ClaimState, hash_key
 from peridottrack.exceptions import StoreUnavailable
 from peridottrack.store import scan
 from peridottrack.types import ABSENT_VERSION, ObjectStore, RowKey, TableStore, WriterId
@@ -22,21 +23,40 @@
     ----------
     writer
         Writer id of the attempt that may change the claim.
+    withdrawn
+        Writer ids of attempts that must not be granted, since a request for a claim can arrive
+        after its withdrawal. A row of the journal holds those that it adds; memory and snapshots
+        hold all of them.
     """
 
     record: ClaimRecord
     writer: WriterId
-
-    def to_data(self) -> dict[str, str]:
+    withdrawn: frozenset[WriterId] = frozenset()
+
+    def after(self, earlier: JournalEntry | None) -> JournalEntry:
+        """Return this entry with the attempts withdrawn by it and by the entries before it."""
+        withdrawn = self.withdrawn
+        if earlier is not None:
+            withdrawn |= earlier.withdrawn
+        if self.record.state is ClaimState.VOID:
+            withdrawn |= {self.writer}
+        return replace(self, withdrawn=withdrawn)
+
+    def to_data(self) -> dict[str, Any]:
         """Return the entry as data for JSON."""
         record = base64.b64encode(self.record.encode()).decode()
-        return {"record": record, "writer": self.writer}
+        data: dict[str, Any] = {"record": record, "writer": self.writer}
+        if self.withdrawn:
+            data["withdrawn"] = sorted(self.withdrawn)
+        return data
 
     @staticmethod
-    def from_data(data: dict[str, str]) -> JournalEntry:
+    def from_data(data: dict[str, Any]) -> JournalEntry:
         """Create an entry from its JSON data."""
         record = ClaimRecord.decode(base64.b64decode(data["record"]))
-        return JournalEntry(record, WriterId(data["writer"]))
+        # Rows of earlier versions have no withdrawn attempts.
+        withdrawn = frozenset(WriterId(writer) for writer in data.get("withdrawn", ()))
+        return JournalEntry(record, WriterId(data["writer"]), withdrawn)
 
 
 @dataclass(slots=True)
@@ -58,6 +78,11 @@
     next_sequence: int = 1
     snapshot_version: int = ABSENT_VERSION
 
+    def apply(self, entry: JournalEntry) -> None:
+        """Make an entry the latest state of its claim."""
+        text = entry.record.id.text
+        self.entry_by_id[text] = entry.after(self.entry_by_id.get(text))
+
 
 def shard_of(claim: ClaimId, shards: int) -> int:
     """Return the shard of a claim; all scopes of a key are in the same shard."""
@@ -126,8 +151,7 @@
 
 def _apply_entries(state: ShardState, body: bytes) -> None:
     for data in json.loads(body):
-        entry = JournalEntry.from_data(data)
-        state.entry_by_id[entry.record.id.text] = entry
+        state.apply(JournalEntry.from_data(data))
 
 
 def encode_entries(entries: list[JournalEntry]) -> bytes:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from claim_world import LoopWallClock
@@ -25,6 +26,10 @@
     return JournalEntry(record, new_writer_id())
 
 
+def ended(claimed, state=ClaimState.VOID):
+    return replace(claimed, record=replace(claimed.record, state=state, ended_wall_s=1.0))
+
+
 class UnfencedTable(MemoryTable):
     """Drops the epoch check, so that any node can append."""
 
@@ -131,3 +136,34 @@
         assert (await owner.claim(entry("k1"))).status is ClaimStatus.GRANTED
 
     run_virtual(run())
+
+
+async def withdraw_two(owner, late, other):
+    """Another attempt is withdrawn after the late one."""
+    assert await owner.finish(ended(late), withdraw=True)
+    assert await owner.finish(ended(other), withdraw=True)
+
+
+async def withdraw_while_held(owner, late, other):
+    """Another attempt holds the key at the withdrawal and is voided later."""
+    assert (await owner.claim(other)).status is ClaimStatus.GRANTED
+    assert await owner.finish(ended(late), withdraw=True)
+    assert (await owner.claim(entry("k"))).status is ClaimStatus.HELD
+    assert await owner.finish(ended(other))
+
+
+@pytest.mark.parametrize("rows_to_compact", [1, 10_000])
+@pytest.mark.parametrize("history", [withdraw_two, withdraw_while_held])
+def test_claim_that_arrives_after_its_withdrawal_is_refused(monkeypatch, history, rows_to_compact):
+    """The withdrawal is known to the next owner too, while another attempt is still granted."""
+    monkeypatch.setattr(journal, "ROWS_TO_COMPACT", rows_to_compact)
+
+    async def run():
+        _, (old, new) = owners(MemoryTable())
+        late, other = entry("k"), entry("k")
+        await history(old, late, other)
+        assert (await old.claim(late)).status is ClaimStatus.REFUSED
+        assert (await new.claim(late)).status is ClaimStatus.REFUSED
+        assert (await new.claim(entry("k"))).status is ClaimStatus.GRANTED
+
+    run_virtual(run())
