Journals: a claim that waits for its batch is seen after the batch before it

An upstream shed it, so that its claim was voided; it was resent at one node while the void was being written, and at another one within a flush (50 ms by default) after the void.

Cause: entries that wait to be appended are found by claim, the latest one for each. When a batch was written, its claims were removed from there by id, and with them the later entries of the same claims that waited for the next batch.

Mend: a batch removes its own entries only.

Evidence: before, test_order_resent_while_its_claim_is_voided_runs_once failed with "ran twice", and test_one_claim_is_granted_after_a_slow_void found two grants. Both pass now.

--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -57,7 +57,10 @@
 
 @dataclass(slots=True)
 class _PendingEntry:
+    """An entry to be appended, and the state of its claim once it is."""
+
     entry: JournalEntry
+    applied: JournalEntry
     done: asyncio.Future[WriteOutcome]
 
 
@@ -88,7 +91,7 @@
         self._epoch = ABSENT_VERSION
         self._state: ShardState | None = None
         self._pending: list[_PendingEntry] = []
-        self._pending_by_id: dict[str, JournalEntry] = {}
+        self._pending_by_id: dict[str, _PendingEntry] = {}
         self._takeover_lock = asyncio.Lock()
         self._flush_task: asyncio.Task[None] | None = None
 
@@ -154,12 +157,15 @@
     def _entry(self, claim: ClaimId) -> JournalEntry | None:
         assert self._state is not None
         pending = self._pending_by_id.get(claim.text)
-        return pending or self._state.entry_by_id.get(claim.text)
+        if pending is not None:
+            return pending.applied
+        return self._state.entry_by_id.get(claim.text)
 
     async def _append(self, entry: JournalEntry) -> WriteOutcome:
         done: asyncio.Future[WriteOutcome] = asyncio.get_running_loop().create_future()
-        self._pending.append(_PendingEntry(entry, done))
-        self._pending_by_id[entry.record.id.text] = entry.after(self._entry(entry.record.id))
+        pending = _PendingEntry(entry, entry.after(self._entry(entry.record.id)), done)
+        self._pending.append(pending)
+        self._pending_by_id[entry.record.id.text] = pending
         if self._flush_task is None or self._flush_task.done():
             self._flush_task = asyncio.ensure_future(self._flush())
         return await done
@@ -173,7 +179,10 @@
             )
             outcome = await self._write([item.entry for item in batch])
             for item in batch:
-                self._pending_by_id.pop(item.entry.record.id.text, None)
+                text = item.entry.record.id.text
+                # A later entry of the same claim may wait for the next batch.
+                if self._pending_by_id.get(text) is item:
+                    del self._pending_by_id[text]
                 if not item.done.done():
                     item.done.set_result(outcome)
             # Inside the loop, so that entries added while the snapshot is written are flushed too.
--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -246,3 +246,24 @@
         world.settle()
     finally:
         world.close()
+
+
+def test_order_resent_while_its_claim_is_voided_runs_once():
+    """The upstream sheds an order; it is resent while its void is written, and again after it."""
+    world = World(make_journal_claims)
+    world.send("k0", b"a")
+    world.advance(1)
+    world.upstream.behaviours.append("shed")
+    world.send("k1", b"a")
+    world.advance(0.025)
+    world.faults.queue([StoreFault.SLOW])
+    world.advance(0.05)
+    world.send("k1", b"a", 1)
+    while len(world.results) < 2:
+        world.advance(0.005)
+    world.send("k1", b"a")
+    world.advance(2)
+    try:
+        world.settle()
+    finally:
+        world.close()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -167,3 +167,23 @@
         assert (await new.claim(entry("k"))).status is ClaimStatus.GRANTED
 
     run_virtual(run())
+
+
+def test_one_claim_is_granted_after_a_slow_void():
+    """One attempt claims while the void is written, another one after it."""
+
+    async def run():
+        table = MemoryTable()
+        _, (owner, _) = owners(table)
+        first = entry("k")
+        assert (await owner.claim(first)).status is ClaimStatus.GRANTED
+        table.faults.queue([StoreFault.SLOW])
+        void = asyncio.ensure_future(owner.finish(ended(first)))
+        await asyncio.sleep(0.1)
+        during = asyncio.ensure_future(owner.claim(entry("k")))
+        assert await void
+        after = await owner.claim(entry("k"))
+        statuses = [(await during).status, after.status]
+        assert statuses == [ClaimStatus.GRANTED, ClaimStatus.HELD]
+
+    run_virtual(run())
