Journals: an entry is appended in the epoch it was checked in, or not at all

Node A checks a claim against its memory of the shard and holds it for the next batch. Node B had taken the shard over and grants the same key. Within A's flush, another request shows A that its epoch has passed, and a third one takes the shard back. A's batch then carries the new epoch, passes the fence, and the key is granted a second time.

Cause: the entries that wait to be appended outlived the memory they were checked against, and a batch took the epoch at the time of its write. The look at the fence after a finish compared with the latest epoch too, not with that of the memory it had answered from.

Mend: a tenure holds the epoch, the shard as read at its start and the entries that wait. Claims, finishes, batches and compactions work on the tenure that they began with; the entries of a tenure that has ended are refused, which is true, since none was sent. So the fence covers every entry, as it covered what was written at once.

Evidence: before, test_entry_is_not_appended_in_a_later_epoch failed with "GRANTED is REFUSED"; it passes now.

--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from peridottrack import log
@@ -64,6 +65,28 @@
     done: asyncio.Future[WriteOutcome]
 
 
+@dataclass(slots=True)
+class _Tenure:
+    """One epoch of an owner: the shard as read at its start, and what waits to be appended.
+
+    An entry is checked against one tenure and appended in the same one or not at all, since other
+    nodes may have appended between two tenures.
+    """
+
+    epoch: int
+    state: ShardState
+    pending: list[_PendingEntry] = field(default_factory=list)
+    pending_by_id: dict[str, _PendingEntry] = field(default_factory=dict)
+    flush_task: asyncio.Task[None] | None = None
+
+    def entry(self, claim: ClaimId) -> JournalEntry | None:
+        """Return the latest state of a claim, including what waits to be appended."""
+        pending = self.pending_by_id.get(claim.text)
+        if pending is not None:
+            return pending.applied
+        return self.state.entry_by_id.get(claim.text)
+
+
 class ShardOwner:
     """Serves one shard on the node that owns it, for as long as the owner's epoch is current.
 
@@ -88,28 +111,25 @@
         self._objects = objects
         self._clock = clock
         self._flush_s = flush_s
-        self._epoch = ABSENT_VERSION
-        self._state: ShardState | None = None
-        self._pending: list[_PendingEntry] = []
-        self._pending_by_id: dict[str, _PendingEntry] = {}
+        self._tenure: _Tenure | None = None
         self._takeover_lock = asyncio.Lock()
-        self._flush_task: asyncio.Task[None] | None = None
 
     @property
     def owned(self) -> bool:
         """Whether this node considers itself the owner of the shard."""
-        return self._state is not None
+        return self._tenure is not None
 
     async def claim(self, entry: JournalEntry) -> ClaimReply:
         """Grant a claim unless another attempt holds it."""
-        if not await self._ensure_owned():
+        tenure = await self._ensure_owned()
+        if tenure is None:
             return ClaimReply(ClaimStatus.REFUSED)
-        held = self._entry(entry.record.id)
+        held = tenure.entry(entry.record.id)
         if held is not None and held.record.state is not ClaimState.VOID:
             return ClaimReply(ClaimStatus.HELD, record=held.record)
         if held is not None and entry.writer in held.withdrawn:
             return ClaimReply(ClaimStatus.REFUSED)
-        outcome = await self._append(entry)
+        outcome = await self._append(tenure, entry)
         handle = ClaimHandle(entry.record, entry.writer, 0)
         if outcome is WriteOutcome.APPLIED:
             return ClaimReply(ClaimStatus.GRANTED, handle)
@@ -126,9 +146,10 @@
             Whether the claim may never have been written; if so, the attempt is marked as
             withdrawn, so that it cannot be granted later.
         """
-        if not await self._ensure_owned() or entry.record.id.text in self._pending_by_id:
+        tenure = await self._ensure_owned()
+        if tenure is None or entry.record.id.text in tenure.pending_by_id:
             return False
-        held = self._entry(entry.record.id)
+        held = tenure.entry(entry.record.id)
         if held is not None and held.writer == entry.writer:
             if held.record.state is not ClaimState.CLAIMED:
                 return True
@@ -137,64 +158,59 @@
         elif not withdraw or (held is not None and held.record.state in FINAL_STATES):
             # This claim has ended already or was never written, and it cannot be granted later,
             # unless the state in memory is stale.
-            return await self._is_still_owner()
+            return await self._is_current(tenure)
         elif held is not None and held.record.state is ClaimState.CLAIMED:
             # Another attempt holds the key and may void it, so this one must be marked as well.
             entry = replace(held, withdrawn=frozenset({entry.writer}))
-        return await self._append(entry) is WriteOutcome.APPLIED
+        return await self._append(tenure, entry) is WriteOutcome.APPLIED
 
-    async def _is_still_owner(self) -> bool:
-        """Check in the table that the state in memory belongs to the current epoch."""
+    async def _is_current(self, tenure: _Tenure) -> bool:
+        """Check in the table that a tenure's epoch is the current one."""
         try:
             row = await self._table.get(fence_key(self._shard))
         except StoreUnavailable:
             return False
-        if row is None or row.version != self._epoch:
-            self._state = None
+        if row is None or row.version != tenure.epoch:
+            self._end(tenure)
             return False
         return True
 
-    def _entry(self, claim: ClaimId) -> JournalEntry | None:
-        assert self._state is not None
-        pending = self._pending_by_id.get(claim.text)
-        if pending is not None:
-            return pending.applied
-        return self._state.entry_by_id.get(claim.text)
+    def _end(self, tenure: _Tenure) -> None:
+        if self._tenure is tenure:
+            self._tenure = None
 
-    async def _append(self, entry: JournalEntry) -> WriteOutcome:
+    async def _append(self, tenure: _Tenure, entry: JournalEntry) -> WriteOutcome:
         done: asyncio.Future[WriteOutcome] = asyncio.get_running_loop().create_future()
-        pending = _PendingEntry(entry, entry.after(self._entry(entry.record.id)), done)
-        self._pending.append(pending)
-        self._pending_by_id[entry.record.id.text] = pending
-        if self._flush_task is None or self._flush_task.done():
-            self._flush_task = asyncio.ensure_future(self._flush())
+        pending = _PendingEntry(entry, entry.after(tenure.entry(entry.record.id)), done)
+        tenure.pending.append(pending)
+        tenure.pending_by_id[entry.record.id.text] = pending
+        if tenure.flush_task is None or tenure.flush_task.done():
+            tenure.flush_task = asyncio.ensure_future(self._flush(tenure))
         return await done
 
-    async def _flush(self) -> None:
-        while self._pending:
+    async def _flush(self, tenure: _Tenure) -> None:
+        while tenure.pending:
             await asyncio.sleep(self._flush_s)
-            batch, self._pending = (
-                self._pending[:MAX_BATCH_ENTRIES],
-                self._pending[MAX_BATCH_ENTRIES:],
-            )
-            outcome = await self._write([item.entry for item in batch])
+            batch = tenure.pending[:MAX_BATCH_ENTRIES]
+            del tenure.pending[:MAX_BATCH_ENTRIES]
+            outcome = await self._write(tenure, [item.entry for item in batch])
             for item in batch:
                 text = item.entry.record.id.text
                 # A later entry of the same claim may wait for the next batch.
-                if self._pending_by_id.get(text) is item:
-                    del self._pending_by_id[text]
+                if tenure.pending_by_id.get(text) is item:
+                    del tenure.pending_by_id[text]
                 if not item.done.done():
                     item.done.set_result(outcome)
             # Inside the loop, so that entries added while the snapshot is written are flushed too.
-            await self._compact()
+            await self._compact(tenure)
 
-    async def _write(self, entries: list[JournalEntry]) -> WriteOutcome:
-        state = self._state
-        if state is None:
+    async def _write(self, tenure: _Tenure, entries: list[JournalEntry]) -> WriteOutcome:
+        if self._tenure is not tenure:
             return WriteOutcome.REFUSED
+        state = tenure.state
         batch_key = entry_key(self._shard, state.next_sequence)
         writes = [
-            Write(WriteAction.CHECK, fence_key(self._shard), self._epoch),
+            Write(WriteAction.CHECK, fence_key(self._shard), tenure.epoch),
             Write(WriteAction.PUT, batch_key, ABSENT_VERSION, encode_entries(entries)),
         ]
         settled = await transact_settled(self._table, writes, batch_key, new_writer_id())
@@ -205,21 +221,19 @@
         elif settled.outcome is not WriteOutcome.REFUSED:
             # Another node took over, or the outcome of the append is unknown: only a takeover with
             # a new epoch shows what the journal contains.
-            self._state = None
+            self._end(tenure)
         return settled.outcome
 
-    async def _ensure_owned(self) -> bool:
-        if self._state is not None:
-            return True
+    async def _ensure_owned(self) -> _Tenure | None:
+        if self._tenure is not None:
+            return self._tenure
         async with self._takeover_lock:
-            if self._state is not None:
-                return True
-            try:
-                return await self._take_over()
-            except StoreUnavailable:
-                return False
+            if self._tenure is None:
+                with contextlib.suppress(StoreUnavailable):
+                    self._tenure = await self._take_over()
+            return self._tenure
 
-    async def _take_over(self) -> bool:
+    async def _take_over(self) -> _Tenure | None:
         """Increment the epoch in the fence row, then read everything appended before."""
         key = fence_key(self._shard)
         row = await self._table.get(key)
@@ -227,17 +241,18 @@
         increment_epoch = Write(WriteAction.PUT, key, epoch, self._local_node.encode())
         settled = await transact_settled(self._table, [increment_epoch], key, new_writer_id())
         if settled.outcome is not WriteOutcome.APPLIED:
-            return False
+            return None
         state = await read_shard(self._table, self._objects, self._shard)
-        self._epoch = epoch + 1
-        self._state = state
-        log.event("claim shard taken over", shard=self._shard, epoch=self._epoch)
-        return True
+        tenure = _Tenure(epoch + 1, state)
+        log.event("claim shard taken over", shard=self._shard, epoch=tenure.epoch)
+        return tenure
 
-    async def _compact(self) -> None:
+    async def _compact(self, tenure: _Tenure) -> None:
         """Replace a long journal by a snapshot, dropping claims past their retention."""
-        state = self._state
-        if state is None or state.next_sequence - state.first_sequence < ROWS_TO_COMPACT:
+        if self._tenure is not tenure:
+            return
+        state = tenure.state
+        if state.next_sequence - state.first_sequence < ROWS_TO_COMPACT:
             return
         oldest_s = self._clock.wall() - RETENTION_S
         retained = {
@@ -245,19 +260,19 @@
             for text, entry in state.entry_by_id.items()
             if (entry.record.ended_wall_s or entry.record.claimed_wall_s) >= oldest_s
         }
-        name = f"claims/{self._shard:04d}/{self._epoch:06d}-{state.next_sequence:012d}"
+        name = f"claims/{self._shard:04d}/{tenure.epoch:06d}-{state.next_sequence:012d}"
         body = encode_entries(list(retained.values()))
         if await self._objects.put_if_absent(name, body) is not WriteOutcome.APPLIED:
             return
         pointer = {"object": name, "next_sequence": state.next_sequence}
         key = snapshot_key(self._shard)
         writes = [
-            Write(WriteAction.CHECK, fence_key(self._shard), self._epoch),
+            Write(WriteAction.CHECK, fence_key(self._shard), tenure.epoch),
             Write(WriteAction.PUT, key, state.snapshot_version, json.dumps(pointer).encode()),
         ]
         settled = await transact_settled(self._table, writes, key, new_writer_id())
         if settled.outcome is not WriteOutcome.APPLIED:
-            self._state = None
+            self._end(tenure)
             return
         first, state.first_sequence = state.first_sequence, state.next_sequence
         state.snapshot_version += 1
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -187,3 +187,21 @@
         assert statuses == [ClaimStatus.GRANTED, ClaimStatus.HELD]
 
     run_virtual(run())
+
+
+def test_entry_is_not_appended_in_a_later_epoch():
+    """Between check and append another node takes the shard, grants the key and loses it again."""
+
+    async def run():
+        _, (first, second) = owners(MemoryTable())
+        await first.claim(entry("k0"))
+        assert (await second.claim(entry("k"))).status is ClaimStatus.GRANTED
+        stale = asyncio.ensure_future(first.claim(entry("k")))
+        await asyncio.sleep(0)
+        # Without an entry the owner looks at the fence and finds that its epoch has passed.
+        assert not await first.finish(ended(entry("k1")))
+        assert (await first.claim(entry("k2"))).status is ClaimStatus.GRANTED
+        assert (await stale).status is ClaimStatus.REFUSED
+        assert (await first.claim(entry("k"))).status is ClaimStatus.HELD
+
+    run_virtual(run())
