Claim rows: the retry of a void compares with the claim's own version again

Seen by callers: an order whose claim the table did not answer was reported as unknown, rightly, and never ran; but if the table then refused the void once and applied the claim late, the key stayed claimed for good by a node that lives. Nothing ran twice.

Cause: a withdrawal noted the version it wrote over in the claim's handle, before the write. If the write failed, the retry compared the row with that version instead of the one that the claim would have, took the missing row for proof that the claim can no longer be applied, and reported the void as durable though it had not been written.

Mend: the handle changes only once a write was applied.

Evidence: before, test_claim_row_is_settled_after_a_late_write[refuse_void] failed with "claim was not settled"; it passes now.

--- a/peridottrack/claims.py
+++ b/peridottrack/claims.py
@@ -230,20 +230,24 @@
 
     async def finish(self, handle: ClaimHandle, record: ClaimRecord) -> bool:
         """Write the claim's new state on condition that this handle wrote the row last."""
+        return await self._put_over(handle, handle.version, record)
+
+    async def _put_over(self, handle: ClaimHandle, version: int, record: ClaimRecord) -> bool:
+        """Write over a version of the claim's row; return whether the claim has ended durably."""
         key = record.id.row_key
         # All retries of a step share one writer id, so that an earlier write that was applied late
         # is recognized. It differs from the claim's own id, so that a read of the row shows which
         # of the two writes was applied.
         writer = WriterId(f"{handle.writer}-{record.state.value}")
-        settled = await put_settled(self._table, key, handle.version, record.encode(), writer)
+        settled = await put_settled(self._table, key, version, record.encode(), writer)
         if settled.outcome is WriteOutcome.APPLIED:
-            handle.version += 1
+            handle.version = version + 1
             handle.record = record
             return True
         # Only this handle may write over its claim, and it does so once. Others only write over a
         # void row. A newer row by another writer therefore means that this write was a void and
         # was applied, and that the key was then claimed again.
-        return settled.row is not None and settled.row.version > handle.version
+        return settled.row is not None and settled.row.version > version
 
     async def withdraw(self, handle: ClaimHandle, record: ClaimRecord) -> bool:
         """Write a void row in the claim's place, or over the claim if it was written.
@@ -261,8 +265,9 @@
             # Another writer has already produced the version that this claim would have, so this
             # claim can no longer be applied.
             return True
-        handle.version = version
-        return await self.finish(handle, record)
+        # The handle keeps the claim's own version until the void is written: a retry compares
+        # with it again.
+        return await self._put_over(handle, version, record)
 
     async def add_audit_note(self, claim: ClaimId, text: str) -> None:
         """Write the line as a separate row."""
--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from peridottrack import journal
-from peridottrack.claims import RowClaimStore
+from peridottrack.claims import ClaimState, RowClaimStore
 from peridottrack.filters.dispatch import check_deadline
 from peridottrack.standin.faults import StoreFault
 from peridottrack.types import ABSENT_VERSION, WriteOutcome
@@ -267,3 +267,21 @@
         world.settle()
     finally:
         world.close()
+
+
+def refuse_void(world):
+    """The table refuses the void of an unsettled claim once, before the claim is applied late."""
+    world.faults.queue([StoreFault.LATE] * 3 + [StoreFault.NONE] * 2 + [StoreFault.DOWN])
+    world.send("k1", b"a")
+    world.advance(1)
+
+
+@pytest.mark.parametrize("history", [refuse_void])
+def test_claim_row_is_settled_after_a_late_write(history):
+    world = World()
+    history(world)
+    try:
+        world.settle()
+        assert [record.state for record in world.records()] == [ClaimState.VOID]
+    finally:
+        world.close()
