Journals: a claim whose row is gone after a lost response is withdrawn

Cause: the table applies the append of a claim and its response is lost. The retry conflicts, the row is missing, and its absence was taken for proof that nothing was written. The claim was refused instead of withdrawn.

Mend: for rows that another owner may delete, absence after an unanswered attempt proves nothing; the outcome remains unknown, and the claim is withdrawn as after any other. A conflict of the first attempt is still a refusal.

Evidence: before, test_append_whose_row_another_owner_compacted_is_not_refused failed with "REFUSED is UNSETTLED"; it passes now, and the key can be claimed again.

--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -213,7 +213,10 @@
             Write(WriteAction.CHECK, fence_key(self._shard), tenure.epoch),
             Write(WriteAction.PUT, batch_key, ABSENT_VERSION, encode_entries(entries)),
         ]
-        settled = await transact_settled(self._table, writes, batch_key, new_writer_id())
+        # The next owner may move the row into a snapshot and delete it.
+        settled = await transact_settled(
+            self._table, writes, batch_key, new_writer_id(), row_may_be_deleted=True
+        )
         if settled.outcome is WriteOutcome.APPLIED:
             state.next_sequence += 1
             for entry in entries:
--- a/peridottrack/store.py
+++ b/peridottrack/store.py
@@ -185,7 +185,12 @@
 
 
 async def transact_settled(
-    table: TableStore, writes: Sequence[Write], settle_key: RowKey, writer: WriterId
+    table: TableStore,
+    writes: Sequence[Write],
+    settle_key: RowKey,
+    writer: WriterId,
+    *,
+    row_may_be_deleted: bool = False,
 ) -> SettledWrite:
     """Apply a transaction and settle an unknown outcome.
 
@@ -202,6 +207,9 @@
     settle_key
         Key of a row written by the transaction that no other writer overwrites before the result
         is read.
+    row_may_be_deleted
+        Whether another writer may delete that row before the result is read. Its absence after an
+        unanswered attempt then proves nothing, and the outcome remains ``UNKNOWN``.
     """
     maybe_applied = False
     for attempt in range(SETTLE_ATTEMPTS):
@@ -213,7 +221,10 @@
         if outcome is WriteOutcome.REFUSED and not maybe_applied:
             return SettledWrite(outcome)
         if outcome is WriteOutcome.CONFLICT:
-            return await _settle_conflict(table, settle_key, writer, maybe_applied)
+            settled = await _settle_conflict(table, settle_key, writer, maybe_applied)
+            if row_may_be_deleted and maybe_applied and settled.row is None:
+                return SettledWrite(WriteOutcome.UNKNOWN)
+            return settled
         maybe_applied = True
     return await _settle_unknown(table, settle_key, writer)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -205,3 +205,23 @@
         assert (await first.claim(entry("k"))).status is ClaimStatus.HELD
 
     run_virtual(run())
+
+
+def test_append_whose_row_another_owner_compacted_is_not_refused(monkeypatch):
+    """The response to an append is lost; before its retry its row moves into a snapshot."""
+    monkeypatch.setattr(journal, "ROWS_TO_COMPACT", 2)
+
+    async def run():
+        table = MemoryTable()
+        _, (first, second) = owners(table)
+        await first.claim(entry("k0"))
+        table.faults.queue([StoreFault.LOST_AFTER])
+        lost = entry("k")
+        claim = asyncio.ensure_future(first.claim(lost))
+        await asyncio.sleep(0.05)
+        await second.claim(entry("k1"))
+        assert (await claim).status is ClaimStatus.UNSETTLED
+        assert await second.finish(ended(lost), withdraw=True)
+        assert (await second.claim(entry("k"))).status is ClaimStatus.GRANTED
+
+    run_virtual(run())
