Soak checks: the broken node false_not_run starts again, and each one is started by a test

Seen: make soak-checks ended at false_not_run with "type object 'Forwarder' has no attribute '_problem'", so nothing checked that the soak finds a false "not run".

Cause: the switch replaced a method that had moved to ErrorReplies, and no test started the switches. A switch that assigned to a method which is gone would even have started, without effect.

Mend: the switch replaces ErrorReplies.problem; all switches replace methods through one function that fails if the class has no such method of its own. A test starts each broken node, and one compares the switches with the guarantees that they violate.

Evidence: before, test_each_broken_node_starts[false_not_run] failed with that message and the other six passed; all pass now.

--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -7,14 +7,23 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
+from typing import Any
 
-from peridottrack import cmdline, forward, mesh
+from peridottrack import cmdline, forward, mesh, replies
 from peridottrack.controllers import follow, localinstance
 from peridottrack.ingress import BufferedResponse
 from peridottrack.resendbudget import ResendBudget
 from peridottrack.types import InstanceState
 
 
+def replace_method(owner: type, name: str, method: Callable[..., Any]) -> None:
+    """Replace a method of a class, which must exist, or the switch would have no effect."""
+    if name not in vars(owner):
+        raise AttributeError(f"{owner.__name__} has no method {name} of its own to replace")
+    setattr(owner, name, method)
+
+
 def mixed_answers() -> None:
     """Give each caller the body of the previous response."""
     handle = forward.Forwarder.handle
@@ -26,24 +35,24 @@
         body, last_body = last_body, response.body
         return BufferedResponse(response.status, response.headers, body, response.close)
 
-    forward.Forwarder.handle = handle_with_last_body
+    replace_method(forward.Forwarder, "handle", handle_with_last_body)
 
 
 def repeats_orders() -> None:
     """Retry after a failure also the requests that must run at most once."""
-    forward.Forwarder._may_resend = lambda self, state: len(state.sent_to) < 3
+    replace_method(forward.Forwarder, "_may_resend", lambda self, state: len(state.sent_to) < 3)
 
 
 def false_not_run() -> None:
     """Report requests that may have run as not run."""
-    problem = forward.Forwarder._problem
+    problem = replies.ErrorReplies.problem
 
     def problem_as_not_run(self, kind, *more, **named):
         response = problem(self, kind, *more, **named)
         response.status = 503 if response.status in (502, 504) else response.status
         return response
 
-    forward.Forwarder._problem = problem_as_not_run
+    replace_method(replies.ErrorReplies, "problem", problem_as_not_run)
 
 
 def deaf_to_leaving() -> None:
@@ -55,7 +64,7 @@
             return localinstance.ReportResult.APPLIED
         return original_apply(self, report)
 
-    localinstance.LocalInstanceController.apply = apply_unless_draining
+    replace_method(localinstance.LocalInstanceController, "apply", apply_unless_draining)
 
 
 def abrupt_stop() -> None:
@@ -65,7 +74,7 @@
         await self.close()
         return True
 
-    mesh.MeshNode.leave = leave
+    replace_method(mesh.MeshNode, "leave", leave)
 
 
 def deaf_to_documents() -> None:
@@ -76,12 +85,12 @@
         if self.table is None:
             original_apply(self, data, from_store)
 
-    follow.DocumentFollowController._apply = apply_first_only
+    replace_method(follow.DocumentFollowController, "_apply", apply_first_only)
 
 
 def boundless_repeats() -> None:
     """Resend without charging the resend budget."""
-    ResendBudget.take = lambda self: True
+    replace_method(ResendBudget, "take", lambda self: True)
 
 
 SWITCHES = {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
+from soak.broken import GUARANTEES_BY_SWITCH, SWITCHES
 from soak.guarantees import LEAVE_GRACE_S, GuaranteeChecker, SentRequest
 from soak.proxy import Proxy, ProxyFault
 from soak.run import soak
@@ -174,3 +178,15 @@
 async def test_a_broken_node_is_found(tmp_path):
     outcome = await soak(CI_SEED, 2, 2.0, tmp_path, broken="mixed_answers")
     assert "whole answer" in {one.guarantee for one in outcome.violations}
+
+
+@pytest.mark.parametrize("switch", SWITCHES)
+def test_each_broken_node_starts(switch):
+    """Each switch finds the method that it replaces."""
+    command = [sys.executable, "-m", "soak.broken", switch, "--help"]
+    started = subprocess.run(command, cwd=Path(__file__).parent, capture_output=True, text=True)
+    assert started.returncode == 0, started.stderr
+
+
+def test_each_broken_node_names_the_guarantees_it_violates():
+    assert GUARANTEES_BY_SWITCH.keys() == SWITCHES.keys()
