--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from peridottrack import journal
-from peridottrack.claims import RowClaimStore
+from peridottrack.claims import ClaimState, RowClaimStore
 from peridottrack.filters.dispatch import check_deadline
 from peridottrack.standin.faults import StoreFault
 from peridottrack.types import ABSENT_VERSION, WriteOutcome
@@ -246,3 +246,51 @@
         world.settle()
     finally:
         world.close()
+
+
+def test_order_resent_while_its_claim_is_voided_runs_once():
+    """The upstream sheds an order; it is resent while its void is written, and again after it."""
+    world = World(make_journal_claims)
+    world.send("k0", b"a")
+    world.advance(1)
+    world.upstream.behaviours.append("shed")
+    world.send("k1", b"a")
+    world.advance(0.025)
+    world.faults.queue([StoreFault.SLOW])
+    world.advance(0.05)
+    world.send("k1", b"a", 1)
+    while len(world.results) < 2:
+        world.advance(0.005)
+    world.send("k1", b"a")
+    world.advance(2)
+    try:
+        world.settle()
+    finally:
+        world.close()
+
+
+def refuse_void(world):
+    """The table refuses the void of an unsettled claim once, before the claim is applied late."""
+    world.faults.queue([StoreFault.LATE] * 3 + [StoreFault.NONE] * 2 + [StoreFault.DOWN])
+    world.send("k1", b"a")
+    world.advance(1)
+
+
+def pause_before_void(world):
+    """The node pauses between look and void, until the unsettled claim is applied late."""
+    world.faults.queue([StoreFault.LATE] * 3 + [StoreFault.NONE, StoreFault.SLOW])
+    world.send("k1", b"a")
+    world.advance(0.5)
+    world.nodes[0].table.awake.clear()
+    world.advance(5)
+
+
+@pytest.mark.parametrize("history", [refuse_void, pause_before_void])
+def test_claim_row_is_settled_after_a_late_write(history):
+    world = World()
+    history(world)
+    try:
+        world.settle()
+        assert [record.state for record in world.records()] == [ClaimState.VOID]
+    finally:
+        world.close()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from claim_world import LoopWallClock
@@ -25,6 +26,10 @@
     return JournalEntry(record, new_writer_id())
 
 
+def ended(claimed, state=ClaimState.VOID):
+    return replace(claimed, record=replace(claimed.record, state=state, ended_wall_s=1.0))
+
+
 class UnfencedTable(MemoryTable):
     """Drops the epoch check, so that any node can append."""
 
@@ -131,3 +136,92 @@
         assert (await owner.claim(entry("k1"))).status is ClaimStatus.GRANTED
 
     run_virtual(run())
+
+
+async def withdraw_two(owner, late, other):
+    """Another attempt is withdrawn after the late one."""
+    assert await owner.finish(ended(late), withdraw=True)
+    assert await owner.finish(ended(other), withdraw=True)
+
+
+async def withdraw_while_held(owner, late, other):
+    """Another attempt holds the key at the withdrawal and is voided later."""
+    assert (await owner.claim(other)).status is ClaimStatus.GRANTED
+    assert await owner.finish(ended(late), withdraw=True)
+    assert (await owner.claim(entry("k"))).status is ClaimStatus.HELD
+    assert await owner.finish(ended(other))
+
+
+@pytest.mark.parametrize("rows_to_compact", [1, 10_000])
+@pytest.mark.parametrize("history", [withdraw_two, withdraw_while_held])
+def test_claim_that_arrives_after_its_withdrawal_is_refused(monkeypatch, history, rows_to_compact):
+    """The withdrawal is known to the next owner too, while another attempt is still granted."""
+    monkeypatch.setattr(journal, "ROWS_TO_COMPACT", rows_to_compact)
+
+    async def run():
+        _, (old, new) = owners(MemoryTable())
+        late, other = entry("k"), entry("k")
+        await history(old, late, other)
+        assert (await old.claim(late)).status is ClaimStatus.REFUSED
+        assert (await new.claim(late)).status is ClaimStatus.REFUSED
+        assert (await new.claim(entry("k"))).status is ClaimStatus.GRANTED
+
+    run_virtual(run())
+
+
+def test_one_claim_is_granted_after_a_slow_void():
+    """One attempt claims while the void is written, another one after it."""
+
+    async def run():
+        table = MemoryTable()
+        _, (owner, _) = owners(table)
+        first = entry("k")
+        assert (await owner.claim(first)).status is ClaimStatus.GRANTED
+        table.faults.queue([StoreFault.SLOW])
+        void = asyncio.ensure_future(owner.finish(ended(first)))
+        await asyncio.sleep(0.1)
+        during = asyncio.ensure_future(owner.claim(entry("k")))
+        assert await void
+        after = await owner.claim(entry("k"))
+        statuses = [(await during).status, after.status]
+        assert statuses == [ClaimStatus.GRANTED, ClaimStatus.HELD]
+
+    run_virtual(run())
+
+
+def test_entry_is_not_appended_in_a_later_epoch():
+    """Between check and append another node takes the shard, grants the key and loses it again."""
+
+    async def run():
+        _, (first, second) = owners(MemoryTable())
+        await first.claim(entry("k0"))
+        assert (await second.claim(entry("k"))).status is ClaimStatus.GRANTED
+        stale = asyncio.ensure_future(first.claim(entry("k")))
+        await asyncio.sleep(0)
+        # Without an entry the owner looks at the fence and finds that its epoch has passed.
+        assert not await first.finish(ended(entry("k1")))
+        assert (await first.claim(entry("k2"))).status is ClaimStatus.GRANTED
+        assert (await stale).status is ClaimStatus.REFUSED
+        assert (await first.claim(entry("k"))).status is ClaimStatus.HELD
+
+    run_virtual(run())
+
+
+def test_append_whose_row_another_owner_compacted_is_not_refused(monkeypatch):
+    """The response to an append is lost; before its retry its row moves into a snapshot."""
+    monkeypatch.setattr(journal, "ROWS_TO_COMPACT", 2)
+
+    async def run():
+        table = MemoryTable()
+        _, (first, second) = owners(table)
+        await first.claim(entry("k0"))
+        table.faults.queue([StoreFault.LOST_AFTER])
+        lost = entry("k")
+        claim = asyncio.ensure_future(first.claim(lost))
+        await asyncio.sleep(0.05)
+        await second.claim(entry("k1"))
+        assert (await claim).status is ClaimStatus.UNSETTLED
+        assert await second.finish(ended(lost), withdraw=True)
+        assert (await second.claim(entry("k"))).status is ClaimStatus.GRANTED
+
+    run_virtual(run())
