End a response whose head, chunk framing or trailers never end

Seen: an instance that sent, without end, a status line, a header, header lines, interim responses, a chunk length, a chunk extension, trailers, very small chunks or responses to other requests held the request until its deadline. Orders and idempotent requests alike were answered 504, none was sent to another instance, and the gate's slot stayed taken. 18 such responses at once raised the process from 32 to 590 MiB in 1.5 s (header lines) and held the loop up for up to 778 ms (responses to another request). Cause: only the bytes of the body were limited, and asyncio passes up to 256 KiB to the parser at a time. Evidence: the 30 cases of test_response_without_end_outside_its_body_is_failed_at_the_limit and test_requests_with_endless_answers_are_retried_only_if_idempotent failed before: "TimeoutError" and "assert (504, False) == (502, False)", one "assert (504, False) == (200, True)". They pass now. Change: all bytes of an exchange beside bodies may be 32 KiB and an eighth of the body, checked after each read of at most 32 KiB. Beyond it the connection is aborted, and the request fails as upstream_answer_invalid, "unknown" whether it ran: an order is answered 502, an idempotent request is sent to another instance. Bytes behind a complete response are no longer parsed. The tests of bytes behind a response, of slow endless responses, of probes and of unusual complete responses passed before, too. Test world: addresses have a counter of their own, as 254 for addresses and requests together do not suffice.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -9,7 +9,7 @@
 from peridottrack import log
 from peridottrack.controllers.probe import ProbeFailure, Prober
 from peridottrack.errors import ErrorKind, Ran
-from peridottrack.exceptions import BrokeOff, NotConnected
+from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.frames import ForwardedRequest, Frame, HedgeHint, InstanceResponse, Refusal
 from peridottrack.gate import AdmissionRequest, Gate, GateState, Verdict
 from peridottrack.headerblock import Header, end_to_end_headers, header_value, pack
@@ -173,6 +173,8 @@
         except BrokeOff as error:
             self._schedule_crash_check(pending.frame)
             self._refuse(pending, ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, str(error))
+        except ResponseTooLarge as error:
+            self._refuse(pending, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, str(error))
         except TimeoutError:
             ran_state = Ran.UNKNOWN if pending.sent else Ran.NO
             kind = ErrorKind.DEADLINE_PASSED if pending.sent else ErrorKind.TOO_LATE
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -14,7 +14,7 @@
     LocalInstanceController,
     ReportResult,
 )
-from peridottrack.exceptions import BrokeOff, NotConnected
+from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.headerblock import header_value
 from peridottrack.headernames import HeaderNames, LoadFigures, read_load
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
@@ -142,7 +142,7 @@
                     response = await connection.exchange(request, b"", self._id_name, False)
                 finally:
                     self._pool.release(connection)
-        except (NotConnected, BrokeOff, TimeoutError) as error:
+        except (NotConnected, BrokeOff, ResponseTooLarge, TimeoutError) as error:
             log.event("probe failed", error=repr(error))
             return None
         load_header = header_value(response.headers, self._load_name)
--- a/peridottrack/exceptions.py
+++ b/peridottrack/exceptions.py
@@ -50,6 +50,12 @@
     code = "broke_off"
 
 
+class ResponseTooLarge(PeridottrackError):
+    """A response of an upstream exceeded a limit before its end; the request may have run."""
+
+    code = "response_too_large"
+
+
 class StoreUnavailable(PeridottrackError):
     """A call to the platform's table or object store failed."""
 
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from peridottrack.exceptions import BrokeOff, NotConnected
+from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.headerblock import Header, header_value
 from peridottrack.types import Clock, Endpoint
 
@@ -26,6 +26,13 @@
 """Share of the instance's Keep-Alive timeout after which a connection is not reused."""
 MAX_IDLE_AT_MOST_ONCE_S = 1.0
 """A connection idle for longer is not used for a request that may run at most once."""
+READ_BYTES = 32 << 10
+"""Most bytes that are read and parsed at once, so that a fast sender does not hold up the loop."""
+MAX_OVERHEAD_BYTES = 32 << 10
+"""Most bytes of one exchange beside bodies: heads, interim responses, chunk framing, trailers."""
+OVERHEAD_SHARE = 1 / 8
+"""Share of the body's size that these bytes may take in addition, since long bodies have more
+chunks; that of very small chunks is larger, as each of them costs processor time."""
 MAX_RESPONSE_BYTES = 64 << 20
 """Largest response body that is buffered; the document has the same limit for requests."""
 BODILESS_STATUSES = frozenset({204, 304})
@@ -48,9 +55,12 @@
     new_connection: bool
 
 
-class InstanceConnection(asyncio.Protocol):
+class InstanceConnection(asyncio.BufferedProtocol):
     """One connection to an instance."""
 
+    # Shared by all connections: received bytes are parsed before another one can be read.
+    _read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._transport: asyncio.Transport | None = None
@@ -69,26 +79,40 @@
         self._headers: list[Header] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
         self._headers_done = False
         self._is_complete = False
         self._framed = False
 
-    # -- asyncio.Protocol --------------------------------------------------------------
+    # -- asyncio.BufferedProtocol ------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; close the connection if they belong to no request."""
-        if self._waiter is None:
+        if self._waiter is None or self._waiter.done():
             self.close()
             return
+        self._received_bytes += nbytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._read_buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"the answer is malformed: {error}")
+            self._fail(BrokeOff(f"the answer is malformed: {error}"))
+            return
+        if not self._is_complete:
+            self._check_limits()
+
+    def _check_limits(self) -> None:
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > MAX_OVERHEAD_BYTES + OVERHEAD_SHARE * self._body_bytes:
+            self._fail(ResponseTooLarge("head or chunk framing exceeds the limit"))
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as the end of a response without a length."""
@@ -101,14 +125,14 @@
         """Fail the exchange that is in progress."""
         self.usable = False
         self._transport = None
-        self._fail(f"the connection ended: {exc or 'closed by the instance'}")
+        self._fail(BrokeOff(f"the connection ended: {exc or 'closed by the instance'}"))
 
     # -- parser callbacks --------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        """Mark the connection unusable if a second response follows a complete one."""
+        """Stop parsing if a second response follows a complete one."""
         if self._is_complete:
-            self.usable = False
+            raise ValueError("bytes follow the response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -157,6 +181,8 @@
         ------
         BrokeOff
             If no complete response arrived; the request may have run.
+        ResponseTooLarge
+            If the response exceeded a limit before its end; the request may have run.
         """
         if self._transport is None or self._transport.is_closing():
             raise NotConnected("the connection is closed")
@@ -181,10 +207,10 @@
         if echoed_id is not None and echoed_id != self._expected_id:
             # A second response to an earlier request: the expected one may still arrive.
             self.usable = False
-            self._headers, self._body, self._body_bytes = [], [], 0
+            self._headers, self._body = [], []
             self._headers_done = False
             if not self._framed:
-                self._fail("an answer to another request ended the connection")
+                self._fail(BrokeOff("an answer to another request ended the connection"))
             return
         self._is_complete = True
         connection = (header_value(headers, b"connection") or b"").lower()
@@ -203,11 +229,11 @@
             if key.lower() == b"timeout" and number.isdigit():
                 self.idle_limit_s = int(number) * IDLE_MARGIN
 
-    def _fail(self, reason: str) -> None:
-        self.usable = False
+    def _fail(self, error: BrokeOff | ResponseTooLarge) -> None:
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(BrokeOff(reason))
-        self.close()
+            self._waiter.set_exception(error)
+        # An instance that reads nothing would keep a connection open that has bytes to send.
+        self.abort()
 
     def close(self) -> None:
         """Close the connection."""
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -17,13 +17,16 @@
 
 # Below the ephemeral port range, so that no outgoing connection occupies them.
 CALLERS, LINK, READY, ANNOUNCE, GOSSIP, METRICS = range(20_001, 20_007)
-_numbers = itertools.count(1)
+ADDRESSES_PER_BLOCK = 254
+_addresses = itertools.count()
+_requests = itertools.count(1)
 
 
 def fresh_ip() -> str:
     """Return a loopback address that no other test or process of this suite uses."""
-    pid, number = os.getpid(), next(_numbers)
-    return f"127.{1 + (pid >> 8) % 200}.{pid % 256}.{number}"
+    pid = os.getpid()
+    block, number = divmod(next(_addresses), ADDRESSES_PER_BLOCK)
+    return f"127.{1 + (pid >> 8) % 100 + 100 * block}.{pid % 256}.{1 + number}"
 
 
 def mesh_settings(ip: str, upstream: str, **changes: object) -> MeshSettings:
@@ -139,7 +142,7 @@
         self, host: Host, path: str = "/stock/1", method: str = "GET", **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send one request on a new connection; return status, body and headers."""
-        number = next(_numbers)
+        number = next(_requests)
         request_headers = {
             "Host": "shop.example",
             "Request-Id": f"r{number}",
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from endless import ENDLESS_HEADS, by_name
 from mesh_world import ANNOUNCE, CALLERS, World
 from users_platform import document_bytes
 from yarl import URL
@@ -98,6 +99,50 @@
     assert runs(world) == before + 3
 
 
+def send_endless(host, start, piece, pause_s=0.0):
+    script = host.instance.script
+    script.endless, script.endless_start, script.endless_piece = 1, start, piece
+    script.endless_pause_s = pause_s
+
+
+async def until_gates_are_free(world, aborted_runs):
+    """Wait until the connections to the instances that send without end are closed."""
+    await wait_until(
+        lambda: sum(host.instance.aborted_runs for host in world.hosts) == aborted_runs
+    )
+    assert [host.node.gate_controller.gate.running for host in world.hosts] == [0, 0]
+
+
+# Guards against requests that wait out their deadline for the end of an endless response.
+@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS_HEADS))
+async def test_requests_with_endless_answers_are_retried_only_if_idempotent(world, start, piece):
+    await world.call(world.hosts[0])
+    for host in world.hosts:
+        send_endless(host, start, piece)
+    before = runs(world)
+    status, _, headers = await world.call(world.hosts[0], "/order/1", "POST")
+    assert (status, "Response-Signature" in headers) == (502, False)
+    assert runs(world) == before + 1
+    status, _, headers = await world.call(world.hosts[0])
+    assert (status, "Response-Signature" in headers) == (200, True)
+    assert runs(world) == before + 3
+    await until_gates_are_free(world, 2)
+
+
+# Guards against a slot that is held past the deadline by a response that trickles in.
+async def test_order_with_a_slow_endless_answer_ends_at_its_deadline(world):
+    for host in world.hosts:
+        send_endless(host, *ENDLESS_HEADS["header lines"], pause_s=0.02)
+    started_at = asyncio.get_running_loop().time()
+    status, _, headers = await world.call(
+        world.hosts[0], "/order/1", "POST", request_deadline="300"
+    )
+    assert (status, "Response-Signature" in headers) == (504, False)
+    assert asyncio.get_running_loop().time() - started_at < 0.6
+    assert runs(world) == 1
+    await until_gates_are_free(world, 1)
+
+
 async def test_request_reported_as_not_run_is_retried_even_if_not_idempotent(world):
     world.hosts[0].instance.script.shed = 1
     world.hosts[1].instance.script.shed = 1
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,116 @@
+"""Connections of a gate to an instance that sends bytes without end instead of a response."""
+
+from __future__ import annotations
+
+import asyncio
+import tracemalloc
+
+import pytest
+from endless import CHUNKED, ENDLESS_HEADS, HEAD, REQUEST_ID, by_name
+from users_platform import InstanceStandin
+
+from peridottrack.clock import LoopClock
+from peridottrack.controllers.probe import Prober
+from peridottrack.exceptions import ResponseTooLarge
+from peridottrack.headernames import HeaderNames
+from peridottrack.types import Endpoint
+from peridottrack.upstream import ConnectionPool
+
+GIVE_UP_S = 1.5
+"""Below the timeouts of the routes: a response without end is failed by its size, not by time."""
+MAX_HEAD_MEMORY_BYTES = 4 << 20
+"""For one response without a body; 18 of them at a time are 72 MB."""
+
+
+@pytest.fixture
+async def instance():
+    standin = InstanceStandin()
+    await standin.start()
+    yield standin
+    await standin.stop()
+
+
+@pytest.fixture
+async def pool(instance):
+    new_pool = ConnectionPool(Endpoint("127.0.0.1", instance.port), LoopClock())
+    yield new_pool
+    new_pool.close()
+
+
+async def exchange(pool, path="/stock/1", request_id=REQUEST_ID):
+    connection = await pool.acquire(at_most_once=False)
+    request = f"GET {path} HTTP/1.1\r\nHost: a\r\nRequest-Id: {request_id.decode()}\r\n\r\n"
+    try:
+        async with asyncio.timeout(GIVE_UP_S):
+            return await connection.exchange(request.encode(), request_id, b"request-id", False)
+    finally:
+        pool.release(connection)
+
+
+def send_endless(instance, start, piece, pause_s=0.0):
+    script = instance.script
+    script.endless, script.endless_start, script.endless_piece = 1_000, start, piece
+    script.endless_pause_s = pause_s
+
+
+async def until_closed(instance, count=1):
+    """Wait until the instance no longer sends, because its connections were closed."""
+    async with asyncio.timeout(1):
+        while instance.aborted_runs < count:
+            await asyncio.sleep(0.01)
+
+
+# Guards against memory that grows, and a slot that stays taken, until the caller's deadline.
+@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS_HEADS))
+async def test_response_without_end_outside_its_body_is_failed_at_the_limit(
+    instance, pool, start, piece
+):
+    send_endless(instance, start, piece)
+    tracemalloc.start()
+    try:
+        with pytest.raises(ResponseTooLarge):
+            await exchange(pool)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_HEAD_MEMORY_BYTES
+    await until_closed(instance)
+
+
+# Guards against bytes after a response that are read for as long as the connection is kept.
+@pytest.mark.parametrize("piece", [b"a", b"\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
+async def test_bytes_without_end_after_a_response_close_the_connection(instance, pool, piece):
+    instance.script.endless_after_response, instance.script.endless_piece = 1, piece
+    for _ in range(3):
+        response = await exchange(pool)
+        assert (response.status, response.body) == (200, b"answer to r1")
+        await asyncio.sleep(0.05)
+    await until_closed(instance)
+    assert instance.connections == 2
+
+
+# Guards against limits that reject complete responses.
+@pytest.mark.parametrize(
+    ("head", "size", "chunk_size"),
+    [
+        pytest.param(b"HTTP/1.1 100 Continue\r\n\r\n" * 100 + CHUNKED, 50, 10, id="interim"),
+        pytest.param(HEAD + b"A: b\r\n" * 3_000 + CHUNKED[len(HEAD) :], 50, 10, id="head"),
+        pytest.param(CHUNKED, 30_000, 7, id="very small chunks"),
+        pytest.param(CHUNKED, 4_000_000, 64, id="small chunks"),
+    ],
+)
+async def test_unusual_but_complete_response_is_accepted(instance, pool, head, size, chunk_size):
+    body = bytes(number % 251 for number in range(size))
+    pieces = [body[at : at + chunk_size] for at in range(0, size, chunk_size)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+    send_endless(instance, head + chunks + b"0\r\n\r\n", b"\r\n", pause_s=1)
+    response = await exchange(pool)
+    assert response.body == body
+
+
+# Guards against a probe that fails with an exception nobody expects.
+async def test_probe_without_an_end_of_its_response_fails(instance, pool):
+    send_endless(instance, *ENDLESS_HEADS["header lines"])
+    prober = Prober(pool, lambda: "/stock/1", HeaderNames(), 20.0, LoopClock())
+    assert await prober.probe() is None
+    await until_closed(instance)
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -14,6 +14,9 @@
 import httptools
 from aiohttp import web
 
+ENDLESS_WRITE_BYTES = 64 << 10
+"""Bytes of an endless response that an instance writes at a time if it sends without a pause."""
+
 DOCUMENT = {
     "version": 7,
     "routes": {
@@ -196,6 +199,11 @@
         Run, then respond 500, or 503 without the header Not-Executed.
     no_id
         Respond without the id of the request.
+    endless, endless_after_response
+        Run, then send `endless_start`, or a complete response, and then `endless_piece` again and
+        again until the connection closes.
+    endless_pause_s
+        Time between two pieces; 0 sends them as fast as the connection takes them.
     work_s
         Time that a request takes.
     healthy
@@ -219,6 +227,11 @@
     fail: int = 0
     busy_after_run: int = 0
     no_id: int = 0
+    endless: int = 0
+    endless_after_response: int = 0
+    endless_start: bytes = b""
+    endless_piece: bytes = b""
+    endless_pause_s: float = 0.0
     work_s: float = 0.0
     healthy: bool = True
     crash_path: bytes = b""
@@ -360,6 +373,12 @@
             self._send(200, request_id, body, signed=False)
         elif consume("no_id"):
             self._send(200, b"", body)
+        elif consume("endless"):
+            self._transport.write(script.endless_start)
+            await self._send_endless(script)
+        elif consume("endless_after_response"):
+            self._send(200, request_id, body)
+            await self._send_endless(script)
         elif consume("busy_after_run"):
             self._send(503, request_id, b"busy")
         elif consume("fail"):
@@ -371,6 +390,17 @@
         if consume("late_double"):
             self._delayed_response = self._build_response(200, request_id, body)
 
+    async def _send_endless(self, script: Script) -> None:
+        """Send pieces until the connection closes, which cancels this task."""
+        piece = script.endless_piece
+        if not script.endless_pause_s:
+            piece *= ENDLESS_WRITE_BYTES // len(piece)
+        self._transport.set_write_buffer_limits(0)
+        while True:
+            if not self._transport.get_write_buffer_size():
+                self._transport.write(piece)
+            await asyncio.sleep(script.endless_pause_s)
+
     def _reset(self) -> None:
         """Close the connection with RST instead of FIN."""
         sock = self._transport.get_extra_info("socket")
