Bound the memory of response bodies that never end

Seen: bodies without end (a large declared length, chunks, a body that the end of the connection ends) from 18 exchanges at once raised the process from 32 to between 585 and 1,183 MiB in 1.5 s; processes may have as little as 200 MB. Their requests failed only at 64 MiB, and as upstream_failed. Cause: the limit of 64 MiB applied to each response, there was none for all, and the body was kept as a list of pieces, each of which took some 40 bytes more than its content. Evidence: the six cases of test_bodies_without_end_are_failed_within_the_memory_of_a_process failed before with 8 exchanges: "assert <"; with chunks of 64 bytes after 10 s. So did test_small_response_is_complete_beside_bodies_without_end: "{<class 'TimeoutError'>} == {<class '...ResponseTooLarge'>}". They pass now. The cases of bodies in test_requests_with_endless_answers_are_retried_only_if_idempotent passed before, with one response at a time. Change: a body may have 16 MiB; a larger declared length fails at once. All incomplete responses of an instance may have 32 MiB; beyond that the largest fails, as a response without end outgrows the others. Bodies are kept in one buffer, released when the exchange ends.

--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -33,8 +33,11 @@
 OVERHEAD_SHARE = 1 / 8
 """Share of the body's size that these bytes may take in addition, since long bodies have more
 chunks; that of very small chunks is larger, as each of them costs processor time."""
-MAX_RESPONSE_BYTES = 64 << 20
-"""Largest response body that is buffered; the document has the same limit for requests."""
+MAX_RESPONSE_BYTES = 16 << 20
+"""Largest response body: a node holds several copies while it passes one on, and a process may have
+as little as 200 MB."""
+MAX_BUFFERED_BYTES = 32 << 20
+"""Most body bytes of all incomplete responses of an instance, for the same reason."""
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -61,8 +64,9 @@
     # Shared by all connections: received bytes are parsed before another one can be read.
     _read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, buffered: BufferedBodies) -> None:
         self._clock = clock
+        self._buffered = buffered
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[UpstreamResponse] | None = None
         self._expected_id = b""
@@ -77,7 +81,8 @@
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        # Not a list of pieces, since each piece would take some 40 bytes more.
+        self._body = bytearray()
         self._body_bytes = 0
         self._received_bytes = 0
         self._headers_done = False
@@ -112,7 +117,11 @@
     def _check_limits(self) -> None:
         overhead_bytes = self._received_bytes - self._body_bytes
         if overhead_bytes > MAX_OVERHEAD_BYTES + OVERHEAD_SHARE * self._body_bytes:
-            self._fail(ResponseTooLarge("head or chunk framing exceeds the limit"))
+            self.reject("head or chunk framing exceeds the limit")
+        elif self._body_bytes > MAX_RESPONSE_BYTES:
+            self.reject("the body exceeds the limit")
+        else:
+            self._buffered.update(self, len(self._body))
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as the end of a response without a length."""
@@ -155,15 +164,18 @@
         if self._head_only:
             self.usable = False
             self._complete()
+            return
+        length = header_value(self._headers, b"content-length") or b""
+        if not bodiless and length.isdigit() and int(length) > MAX_RESPONSE_BYTES:
+            self.reject("the declared length exceeds the limit")
+            raise ValueError("the response is rejected")
 
     def on_body(self, body: bytes) -> None:
         """Store a piece of the body."""
         if self._is_complete:
             return
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            raise ValueError("the answer is larger than the limit")
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the exchange if this is its response."""
@@ -198,16 +210,22 @@
             self.abort()
             raise
         finally:
+            self._drop_body()
             self._waiter = None
             self.idle_since = self._clock.now()
 
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self._buffered.remove(self)
+
     def _complete(self) -> None:
-        headers, body = self._headers, b"".join(self._body)
+        headers = self._headers
         echoed_id = header_value(headers, self._id_header)
         if echoed_id is not None and echoed_id != self._expected_id:
             # A second response to an earlier request: the expected one may still arrive.
             self.usable = False
-            self._headers, self._body = [], []
+            self._headers = []
+            self._drop_body()
             self._headers_done = False
             if not self._framed:
                 self._fail(BrokeOff("an answer to another request ended the connection"))
@@ -221,7 +239,9 @@
         self._apply_keep_alive(header_value(headers, b"keep-alive"))
         if self._waiter is not None and not self._waiter.done():
             status = self._parser.get_status_code()
-            self._waiter.set_result(UpstreamResponse(status, headers, body, self.requests == 1))
+            self._waiter.set_result(
+                UpstreamResponse(status, headers, bytes(self._body), self.requests == 1)
+            )
 
     def _apply_keep_alive(self, value: bytes | None) -> None:
         for part in (value or b"").split(b","):
@@ -229,9 +249,14 @@
             if key.lower() == b"timeout" and number.isdigit():
                 self.idle_limit_s = int(number) * IDLE_MARGIN
 
+    def reject(self, reason: str) -> None:
+        """Fail the exchange in progress because its response exceeds a limit."""
+        self._fail(ResponseTooLarge(reason))
+
     def _fail(self, error: BrokeOff | ResponseTooLarge) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
+        self._drop_body()
         # An instance that reads nothing would keep a connection open that has bytes to send.
         self.abort()
 
@@ -248,6 +273,30 @@
             self._transport.abort()
 
 
+class BufferedBodies:
+    """Limits the body bytes that the incomplete responses of an instance take together."""
+
+    def __init__(self) -> None:
+        self._bytes_by_connection: dict[InstanceConnection, int] = {}
+        self._bytes = 0
+
+    def update(self, connection: InstanceConnection, size: int) -> None:
+        """Set the bytes of a connection; beyond the limit, reject the largest responses.
+
+        A response without an end outgrows the others, so the others can be completed.
+        """
+        by_connection = self._bytes_by_connection
+        self._bytes += size - by_connection.get(connection, 0)
+        by_connection[connection] = size
+        while self._bytes > MAX_BUFFERED_BYTES:
+            largest = max(by_connection, key=by_connection.__getitem__)
+            largest.reject("the responses of the instance together exceed the limit")
+
+    def remove(self, connection: InstanceConnection) -> None:
+        """Discount the bytes of a connection."""
+        self._bytes -= self._bytes_by_connection.pop(connection, 0)
+
+
 class ConnectionPool:
     """The idle connections to one instance; the most recently used is reused first."""
 
@@ -255,6 +304,7 @@
         self._endpoint = endpoint
         self._clock = clock
         self._idle: deque[InstanceConnection] = deque()
+        self._buffered = BufferedBodies()
 
     async def acquire(self, at_most_once: bool) -> InstanceConnection:
         """Return a connection without a request in progress.
@@ -308,7 +358,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, connection = await loop.create_connection(
-                    lambda: InstanceConnection(self._clock),
+                    lambda: InstanceConnection(self._clock, self._buffered),
                     self._endpoint.host,
                     self._endpoint.port,
                 )
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -29,6 +29,19 @@
 }
 """Responses that never end, with little or no body."""
 
+ENDLESS_BODIES = {
+    "body of a large declared length": (HEAD + b"Content-Length: 9000000000\r\n\r\n", b"a"),
+    "body that the connection ends": (HEAD + b"\r\n", b"a"),
+    "chunks": (CHUNKED, b"400\r\n" + b"a" * 1024 + b"\r\n"),
+    "small chunks": (CHUNKED, b"40\r\n" + b"a" * 64 + b"\r\n"),
+    "chunk": (CHUNKED + b"ffffffff\r\n", b"a"),
+    "chunks of a response to another request": (
+        CHUNKED.replace(b"r1", b"r0"),
+        b"400\r\n" + b"a" * 1024 + b"\r\n",
+    ),
+}
+"""Responses whose body never ends."""
+
 
 def by_name(variants: dict[str, tuple[bytes, bytes]]) -> list[object]:
     """Return the variants as the parameters of a test."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from endless import ENDLESS_HEADS, by_name
+from endless import ENDLESS_BODIES, ENDLESS_HEADS, by_name
 from mesh_world import ANNOUNCE, CALLERS, World
 from users_platform import document_bytes
 from yarl import URL
@@ -114,7 +114,7 @@
 
 
 # Guards against requests that wait out their deadline for the end of an endless response.
-@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS_HEADS))
+@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS_HEADS | ENDLESS_BODIES))
 async def test_requests_with_endless_answers_are_retried_only_if_idempotent(world, start, piece):
     await world.call(world.hosts[0])
     for host in world.hosts:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,7 +6,7 @@
 import tracemalloc
 
 import pytest
-from endless import CHUNKED, ENDLESS_HEADS, HEAD, REQUEST_ID, by_name
+from endless import CHUNKED, ENDLESS_BODIES, ENDLESS_HEADS, HEAD, REQUEST_ID, by_name
 from users_platform import InstanceStandin
 
 from peridottrack.clock import LoopClock
@@ -20,6 +20,11 @@
 """Below the timeouts of the routes: a response without end is failed by its size, not by time."""
 MAX_HEAD_MEMORY_BYTES = 4 << 20
 """For one response without a body; 18 of them at a time are 72 MB."""
+MAX_BODIES_MEMORY_BYTES = 100 << 20
+"""For all bodies: half of the 200 MB that the smallest process may use, which itself needs 60."""
+CONCURRENT = 8
+TRACED_GIVE_UP_S = 10.0
+"""For the tests of the memory of bodies, as tracing it takes time."""
 
 
 @pytest.fixture
@@ -37,11 +42,11 @@
     new_pool.close()
 
 
-async def exchange(pool, path="/stock/1", request_id=REQUEST_ID):
+async def exchange(pool, path="/stock/1", request_id=REQUEST_ID, give_up_s=GIVE_UP_S):
     connection = await pool.acquire(at_most_once=False)
     request = f"GET {path} HTTP/1.1\r\nHost: a\r\nRequest-Id: {request_id.decode()}\r\n\r\n"
     try:
-        async with asyncio.timeout(GIVE_UP_S):
+        async with asyncio.timeout(give_up_s):
             return await connection.exchange(request.encode(), request_id, b"request-id", False)
     finally:
         pool.release(connection)
@@ -77,6 +82,38 @@
     await until_closed(instance)
 
 
+# Guards against a body that fills the memory of the process, or that a caller takes for complete.
+@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS_BODIES))
+async def test_bodies_without_end_are_failed_within_the_memory_of_a_process(
+    instance, pool, start, piece
+):
+    send_endless(instance, start, piece)
+    tracemalloc.start()
+    try:
+        outcomes = await asyncio.gather(
+            *(exchange(pool, give_up_s=TRACED_GIVE_UP_S) for _ in range(CONCURRENT)),
+            return_exceptions=True,
+        )
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_BODIES_MEMORY_BYTES
+    assert [type(outcome) for outcome in outcomes] == [ResponseTooLarge] * CONCURRENT
+    await until_closed(instance, CONCURRENT)
+
+
+# Guards against a limit of all bodies that fails the small responses instead of the endless ones.
+async def test_small_response_is_complete_beside_bodies_without_end(instance, pool):
+    send_endless(instance, *ENDLESS_BODIES["body that the connection ends"])
+    endless = [asyncio.create_task(exchange(pool)) for _ in range(CONCURRENT)]
+    while len(instance.runs) < CONCURRENT:
+        await asyncio.sleep(0)
+    instance.script.endless = 0
+    while not all(task.done() for task in endless):
+        assert (await exchange(pool)).body == b"answer to r1"
+    assert {type(task.exception()) for task in endless} == {ResponseTooLarge}
+
+
 # Guards against bytes after a response that are read for as long as the connection is kept.
 @pytest.mark.parametrize("piece", [b"a", b"\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
 async def test_bytes_without_end_after_a_response_close_the_connection(instance, pool, piece):
