A leaving node takes the calls of runs that are ending on its host

Seen: a run at the gate of a leaving node carries the deadline of its caller, and so do its calls. Once the gate had closed, each call with a deadline after the end of the shutdown was refused as not run, even with seconds left, and the run failed. A request that was read in a shutdown and ended by it was answered 504 deadline_passed, though its own deadline had not passed.

Change: a request is taken if its own deadline is earlier or if four of its usual runs fit into the time that is left. What a bounded deadline ended is node_stopped, whoever noticed first.

The test of a queued request now asks for the exact answer; the others no longer wait for an idle timeout or a fixed time.

--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -34,6 +34,9 @@
 """Run time assumed for a route that never ran, as a share of its target latency."""
 MAX_SENDS = 6
 """Maximum number of sends for one request, including those refused as not run, without hedges."""
+RUNS_TO_FINISH = 4.0
+"""Multiple of a route's run time that must be left in a shutdown for a request to be taken: it may
+have to wait, and runs in slow periods take several times as long."""
 DECLINE_KINDS = frozenset({ErrorKind.INSTANCE_SLOW, ErrorKind.INSTANCE_BUSY})
 """Refusals that say only that another gate is expected to answer sooner."""
 MIN_FAILURE_STATUS = 500
@@ -118,19 +121,27 @@
     def limit_deadlines(self, answer_by: float) -> None:
         """Move all deadlines after ``answer_by`` to it, also those of requests still to be read.
 
-        What cannot be answered by then is refused as not run, or cancelled and answered as unknown.
+        What cannot be answered by then is refused as not run, or ended by its instance, or
+        cancelled and answered as unknown.
         """
         self._answer_by = answer_by
         for state in self._active:
             state.limit_deadline(answer_by)
 
     def refuse_later_deadlines(self) -> None:
-        """From now on, refuse requests whose own deadline is after that of `limit_deadlines`.
+        """From now on, refuse requests that may not end before the limit of `limit_deadlines`.
 
-        The others, such as the calls of running requests, are certain to be answered before it.
+        Those with an earlier deadline of their own are still taken, and those that usually take
+        a small part of the time that is left: the calls of runs that are ending on this host.
         """
         self._refuses_later_deadlines = True
 
+    def _may_end_too_late(self, state: ForwardState) -> bool:
+        if not self._refuses_later_deadlines or state.deadline <= self._answer_by:
+            return False
+        left_s = self._answer_by - self._clock.now()
+        return left_s < RUNS_TO_FINISH * self._run_s(state.route)
+
     async def handle(self, request: CallerRequest) -> BufferedResponse:
         """Answer one request; raises nothing but `asyncio.CancelledError`."""
         try:
@@ -165,7 +176,7 @@
             request.received_at + route.target_s - self._caller_deadlines.elapsed_s(request, route),
             self._caller_header + pack(end_to_end_headers(request.headers, self._replaced_headers)),
         )
-        if self._refuses_later_deadlines and state.deadline > self._answer_by:
+        if self._may_end_too_late(state):
             state.last_kind = ErrorKind.DRAINING
             state.retry_after_s = self._answer_by - self._clock.now()
             return self._abandon(state)
@@ -381,6 +392,8 @@
 
     def _handle_refusal(self, state: ForwardState, instance: InstanceId, refusal: Refusal) -> None:
         state.last_kind = refusal.kind
+        if refusal.kind is ErrorKind.DEADLINE_PASSED and state.deadline_limited:
+            state.last_kind = ErrorKind.NODE_STOPPED
         state.retry_after_s = max(state.retry_after_s, refusal.retry_after_s)
         if refusal.kind in DECLINE_KINDS:
             state.declined_by.add(instance)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -197,7 +197,8 @@
     while sum(len(host.instance.runs) for host in world.hosts) < 2:
         await asyncio.sleep(0.01)
     answers[0].cancel()
-    await asyncio.sleep(0.1)
+    while not any(b"request cancelled" in line for line in lines.lines):
+        await asyncio.sleep(0.01)
     second.node.forwarder.limit_deadlines(second.node._clock.now() + 5.0)
     await second.node.close()
     with pytest.raises(aiohttp.ServerDisconnectedError):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -375,9 +375,10 @@
 async def read_until_close(host, request_id: str, deadline_ms: int) -> bytes:
     """Send one request on a new connection and return all that is received until its end."""
     reader, writer = await asyncio.open_connection(host.ip, CALLERS)
-    lines = ("GET /stock/1 HTTP/1.1", "Host: shop.example", f"Request-Id: {request_id}")
+    lines = ["GET /stock/1 HTTP/1.1", "Host: shop.example", f"Request-Id: {request_id}"]
+    lines += [f"Request-Deadline: {deadline_ms}", "Connection: close", "", ""]
     try:
-        writer.write("\r\n".join((*lines, f"Request-Deadline: {deadline_ms}", "", "")).encode())
+        writer.write("\r\n".join(lines).encode())
         return await reader.read()
     finally:
         writer.close()
@@ -393,7 +394,7 @@
     await wait_until(lambda: all(host.node.document_follower.version == 30 for host in world.hosts))
     # This run lasts nearly as long as the shutdown may, so that the node has to serve meanwhile.
     open_only(world, 2)
-    leaving.instance.script.work_s = 3.3
+    leaving.instance.script.work_s = 3.0
     long_run = asyncio.create_task(read_until_close(peer, "long", 9_000))
     await wait_until(lambda: leaving.node.gate_controller.gate.running == 1)
     leaving.node.gate_controller.gate.close()
@@ -436,7 +437,8 @@
     queued = asyncio.create_task(read_until_close(leaving, "queued", 9_000))
     await wait_until(lambda: gate.waiting == 1)
     shutdown = asyncio.create_task(leaving.node.leave())
-    assert (await queued).startswith(b"HTTP/1.1 50")
+    answer = await queued
+    assert answer.startswith(b"HTTP/1.1 502 ") and b"Peridot-Error: node_stopped" in answer
     assert await shutdown
     await wait_until(lambda: gate.waiting == 0)
     running.cancel()
