The gate of a leaving node starts no run that it would have to cut

Callers of other nodes saw: 502 for a request whose run was cut at the end of the shutdown of the node beside its instance.

Cause: the same as of the cut requests of callers, at the gate: between SIGTERM and its closing it started runs with the deadline of the sender, without regard to its own end.

Change: from SIGTERM the end of the shutdown bounds the deadlines at the gate, and a run that usually lasts longer is refused as not run, so that its sender goes to another instance.

Evidence: test_gate_of_a_leaving_node_starts_no_run_that_cannot_end_in_time failed with (502, 1, 1) for (503, 0, 0): run, and aborted; it passes now.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -52,6 +52,7 @@
     frame: ForwardedRequest
     reply: Reply
     deadline: float
+    target_at: float
     decision: asyncio.Future[Verdict]
     admission: AdmissionRequest = field(init=False)
     sent: bool = False
@@ -61,7 +62,7 @@
         self.admission = AdmissionRequest(
             frame.route,
             frame.priority,
-            self.deadline - frame.budget_s + frame.target_s,
+            self.target_at,
             self.deadline,
             self._set_decision,
             frame.decline_if_slow,
@@ -87,6 +88,9 @@
         Probes the instance; None to rely on the load reports in its responses alone.
     on_crash
         Called with the fingerprint of a request that ran when the instance crashed.
+    answer_by
+        Time of the node's clock, in seconds, until which requests that start later must end, since
+        this node shuts down.
     """
 
     def __init__(self, endpoint: Endpoint, header_names: HeaderNames, clock: Clock) -> None:
@@ -95,6 +99,7 @@
         self._header_names = header_names
         self.pool = ConnectionPool(endpoint, clock)
         self.prober: Prober | None = None
+        self.answer_by = float("inf")
         self._refused_connections = 0
         self._crash_checks: set[asyncio.Task[None]] = set()
         self.on_crash: Callable[[str, InstanceId], object] = (
@@ -115,14 +120,26 @@
         transit_s
             Seconds that the frame was in transit longer than the fastest recent frame.
         """
-        deadline = self._clock.now() + frame.budget_s - transit_s
+        sent_at = self._clock.now() - transit_s
+        deadline = min(sent_at + frame.budget_s, self.answer_by)
         decision: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        pending = _PendingRequest(frame, reply, deadline, decision)
+        target_at = sent_at + frame.target_s
+        pending = _PendingRequest(frame, reply, deadline, target_at, decision)
         if frame.idempotent:
             pending.admission.on_slow_start = lambda: on_hedge_hint(HedgeHint(frame.number))
         return asyncio.create_task(self._serve(pending))
 
+    def _may_outlast_shutdown(self, pending: _PendingRequest) -> bool:
+        """Return whether a run of the usual length would be cut off by the end of the shutdown."""
+        if pending.deadline < self.answer_by:
+            return False
+        run_s = self.gate.run_s(pending.frame.route) * self.gate.slowdown()
+        return self._clock.now() + run_s > self.answer_by
+
     async def _serve(self, pending: _PendingRequest) -> None:
+        if self._may_outlast_shutdown(pending):
+            self._refuse(pending, ErrorKind.TOO_LATE, Ran.NO, "the node is leaving")
+            return
         host_unresponsive = pending.admission.decline_if_slow and await self._is_unresponsive(
             pending.admission
         )
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -183,6 +183,7 @@
         log.event("node leaves", in_flight=self.ingress.in_flight, forwarded=self._gate_requests)
         self._leaving = True
         self.ingress.begin_close()
+        self.gate_controller.answer_by = deadline - ANSWER_MARGIN_S
         self.forwarder.limit_deadlines(deadline - ANSWER_MARGIN_S)
         # The gate stays open while the platform notices that this node is not ready, so that other
         # nodes can use the local instance as long as possible.
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -8,6 +8,7 @@
 from mesh_world import World
 from test_mesh import document_with_timeout, open_only, read_until_close, routes, wait_until
 
+from peridottrack.runtimes import RunTime
 from peridottrack.types import InstanceId, ServiceName
 
 LARGE_BODY_BYTES = 12 << 20
@@ -74,6 +75,25 @@
     assert [int(run.headers[b"request-deadline"]) <= 3_600 for run in other.instance.runs] == [True]
 
 
+# The gate of a leaving node started a run for another node and cut it at the end of the shutdown.
+async def test_gate_of_a_leaving_node_starts_no_run_that_cannot_end_in_time(world):
+    peer = world.hosts[0]
+    leaving = await world.add("i-leaving", shutdown_s=4.0)
+    await world.settle()
+    await use_long_timeouts(world)
+    open_only(world, 2)
+    gate = leaving.node.gate_controller.gate
+    gate._run_time_by_route["order"] = RunTime(5.0, 10)
+    gate._overall_run_time = RunTime(5.0, 10)
+    leaving.instance.script.work_s = 5.0
+    shutdown = asyncio.create_task(leaving.node.leave())
+    await asyncio.sleep(0.1)
+    assert gate.is_open
+    status, _, _ = await world.call(peer, "/order/1", "POST", request_deadline="9000")
+    await shutdown
+    assert (status, len(leaving.instance.runs), leaving.instance.aborted_runs) == (503, 0, 0)
+
+
 # A request that the shutdown ended was reported as one whose own deadline had passed.
 async def test_request_sent_after_sigterm_and_ended_by_the_shutdown_is_node_stopped(world):
     node = world.hosts[0].node
