A shutdown ends with the last connection of its callers, not the last request

Callers saw: a connection closed without a response if it was accepted as the listener closed, and a large response without its end if they read it more slowly than the node stopped.

Cause: the shutdown waited for the requests that the listener knew. A connection that was accepted in the same moment had no protocol yet, and its request was read while the node closed everything else; a request counted as ended when its response was in the buffer of the connection, which is lost with the process.

Change: after the listener has closed, the loop runs until accepted connections are known; then the shutdown waits until no connection is left, and closes those that are idle. One with unsent bytes is left until they are sent.

--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -34,6 +34,8 @@
 
 Closing at once can reset the connection before the caller has read the response.
 """
+STEPS_TO_CONNECTION = 4
+"""Iterations of the event loop in which an accepted connection reaches its protocol."""
 
 REASON_BY_STATUS = {status.value: status.phrase.encode() for status in HTTPStatus}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -148,17 +150,26 @@
     def begin_close(self) -> None:
         """From now on, close a connection with the response to its last pending request.
 
-        Idle connections stay open until their next request or `close_idle`.
+        Idle connections stay open until their next request or `is_drained`.
         """
         self.closing = True
 
-    def close_idle(self) -> None:
-        """Stop accepting connections and close those without a pending request."""
+    async def stop_accepting(self) -> None:
+        """Stop accepting connections, and wait until those accepted before are known."""
         if self._server is not None:
             self._server.close()
+        for _ in range(STEPS_TO_CONNECTION):
+            await asyncio.sleep(0)
+
+    def is_drained(self) -> bool:
+        """Close the connections that are idle by now; return whether none is left.
+
+        A connection is left until all bytes of its last response are sent.
+        """
         for connection in list(self.connections):
             if connection.idle:
                 connection.close()
+        return not self.connections
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -196,9 +196,9 @@
         gate_idle_at = self._clock.now()
         # Not earlier: while its requests run, the local instance may call other services through
         # this node.
-        self.ingress.close_idle()
+        await self.ingress.stop_accepting()
         await self._wait_until(
-            lambda: not self.ingress.in_flight and not self._gate_requests, deadline
+            lambda: self.ingress.is_drained() and not self._gate_requests, deadline
         )
         idle = not self.ingress.in_flight and not self._gate_requests
         cut = self.ingress.in_flight
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
+import socket
+import sys
 
 import pytest
-from mesh_world import World
+from mesh_world import ANNOUNCE, CALLERS, READY, World, fresh_ip, mesh_settings
 from test_mesh import document_with_timeout, open_only, read_until_close, routes, wait_until
 
 from peridottrack.runtimes import RunTime
@@ -102,3 +106,110 @@
     node.forwarder.limit_deadlines(asyncio.get_running_loop().time() + 0.5)
     status, _, headers = await world.call(world.hosts[0], "/order/1", "POST")
     assert (status, headers["Peridot-Error"]) == (502, "node_stopped")
+
+
+# The rest of a response was lost when the process ended before a slow caller had read it.
+async def test_response_in_the_buffer_of_the_node_is_sent_before_the_process_ends(tmp_path):
+    world = World()
+    await world.start(0)
+
+    async def respond(reader, writer):
+        while head := (await reader.readuntil(b"\r\n\r\n")).decode():
+            request_id = head.lower().partition("request-id: ")[2].partition("\r\n")[0]
+            body = b"" if "/healthz" in head else b"x" * LARGE_BODY_BYTES
+            lines = ["HTTP/1.1 200 OK", "Instance-Id: i-0", f"Content-Length: {len(body)}"]
+            lines += [f"Request-Id: {request_id}", "Response-Signature: i-0", "", ""]
+            writer.write("\r\n".join(lines).encode() + body)
+
+    instance = await asyncio.start_server(respond, "127.0.0.1", 0)
+    port = instance.sockets[0].getsockname()[1]
+    ip = fresh_ip()
+    path = tmp_path / "node.json"
+    settings = mesh_settings(ip, f"127.0.0.1:{port}", store_url=world.store.url)
+    path.write_text(json.dumps(settings.model_dump()))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "peridottrack", "mesh", "--settings", str(path)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(20):
+            while await _ready_status(world, ip) != 200:
+                await asyncio.sleep(0.05)
+        report = {
+            "address": f"{ip}:{port}",
+            "born": 1_000,
+            "node_info": {"service": "katalog", "version": "v1", "zone": "a", "max_concurrent": 18},
+            "status": {"state": "ready", "sequence": 1, "warmup_left_s": 0},
+        }
+        url = f"http://{ip}:{ANNOUNCE}/v1/instances/i-0/heartbeat"
+        async with world.session.post(url, data=json.dumps(report)) as answer:
+            assert answer.status == 200
+        sock = socket.create_connection((ip, CALLERS))
+        sock.setblocking(False)
+        lines = ("GET /stock/1 HTTP/1.1", "Host: shop.example", "Request-Id: large", "", "")
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, "\r\n".join(lines).encode())
+        received = len(await loop.sock_recv(sock, 1 << 16))
+        # The response has arrived at the node; its caller is slower than the node.
+        await asyncio.sleep(0.5)
+        process.send_signal(signal.SIGTERM)
+        for _ in range(3):
+            await asyncio.sleep(0.3)
+            await _ready_status(world, ip)
+        await asyncio.sleep(0.7)
+        # Less than two of the six seconds of the shutdown have passed.
+        while data := await loop.sock_recv(sock, 1 << 20):
+            received += len(data)
+        sock.close()
+        assert received > LARGE_BODY_BYTES
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+        instance.close()
+        await world.stop()
+
+
+async def _ready_status(world: World, ip: str) -> int:
+    try:
+        async with world.session.get(f"http://{ip}:{READY}/v1/readyz") as response:
+            return response.status
+    except OSError:
+        return 0
+
+
+# A connection accepted as the listener closed was closed without a response to its request.
+@pytest.mark.parametrize("iterations", [1, 2, 3, 4])
+async def test_request_on_a_connection_accepted_as_the_listener_closes_is_not_cut(
+    world, iterations
+):
+    leaving = await world.add("i-leaving", shutdown_s=4.0)
+    await world.settle()
+    open_only(world, 1)
+    world.hosts[1].instance.script.work_s = 0.3
+    wait, waits = leaving.node._wait_until, 0
+    sockets = []
+
+    async def wait_and_connect(condition, deadline) -> None:
+        nonlocal waits
+        waits += 1
+        await wait(condition, deadline)
+        if waits == 2:  # the gate is idle; the listener closes next
+            sockets.append(socket.create_connection((leaving.ip, CALLERS)))
+            lines = ("GET /stock/1 HTTP/1.1", "Host: shop.example", "Request-Id: r", "", "")
+            sockets[0].sendall("\r\n".join(lines).encode())
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+
+    leaving.node._wait_until = wait_and_connect
+    await leaving.node.leave()
+    # A process ends now: what is not answered yet is cut.
+    read = leaving.node.ingress.read_while_closing
+    sockets[0].setblocking(False)
+    try:
+        answer = sockets[0].recv(1 << 16)
+    except (BlockingIOError, ConnectionResetError):
+        answer = b""
+    sockets[0].close()
+    runs = sum(len(host.instance.runs) for host in world.hosts)
+    assert (read, runs) == (0, 0) or answer.startswith(b"HTTP/1.1 "), (read, runs, answer)
