SIGHUP does not end a node that is starting

Seen: a process that got SIGHUP in the first second after its start ended with -1 and was started once more.

Cause: the signal had its default action until the node installed its handler, after its imports.

--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from pathlib import Path
 
 import pytest
 from mesh_world import ANNOUNCE, CALLERS, READY, World, fresh_ip, mesh_settings
@@ -178,6 +179,33 @@
         return 0
 
 
+# The process ended, since SIGHUP had its default action until the node was about to start.
+async def test_process_that_is_starting_survives_sighup(tmp_path):
+    world = World()
+    await world.start(0)
+    path, ip = tmp_path / "node.json", fresh_ip()
+    settings = mesh_settings(ip, "127.0.0.1:9", store_url=world.store.url)
+    path.write_text(json.dumps(settings.model_dump()))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "peridottrack", "mesh", "--settings", str(path)),
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        # The program runs and is still importing its modules.
+        maps = Path(f"/proc/{process.pid}/maps")
+        await wait_until(lambda: "pydantic_core" in maps.read_text(encoding="utf-8"))
+        process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(20):
+            while process.returncode is None and await _ready_status(world, ip) != 200:
+                await asyncio.sleep(0.05)
+        assert process.returncode is None
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        await world.stop()
+
+
 # A connection accepted as the listener closed was closed without a response to its request.
 @pytest.mark.parametrize("iterations", [1, 2, 3, 4])
 async def test_request_on_a_connection_accepted_as_the_listener_closes_is_not_cut(
