End a response that a node passes on while reading it at the deadline

Seen: `peridottrack node` passes a response in chunks or of more than 256 KiB on while it reads it. If its end never came, caller and instance stayed connected until the caller closed: with a deadline of 0.5 s, callers still waited after 3 s, those of an endless chunk length or chunk extension without a byte of the body. Cause: the deadline filter ends when the head is there; nothing limited the time of the body after it. Change: the body is due by the same deadline. Then the connections to caller and instance are closed, so that the response is visibly incomplete.

--- a/peridottrack/callerserver.py
+++ b/peridottrack/callerserver.py
@@ -104,10 +104,12 @@
             else:
                 stream_response.headers.popall("Content-Length", None)
                 stream_response.enable_chunked_encoding()
-            await stream_response.prepare(call.request)
-            async for chunk in response.stream:
-                await stream_response.write(chunk)
-            await stream_response.write_eof()
+            # The deadline filter ends with the head; the body is due by the same deadline.
+            async with asyncio.timeout_at(call.deadline):
+                await stream_response.prepare(call.request)
+                async for chunk in response.stream:
+                    await stream_response.write(chunk)
+                await stream_response.write_eof()
             complete = True
         except asyncio.CancelledError:
             raise
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,6 +10,7 @@
 import pytest
 from aiohttp.web import HTTPForbidden
 from conftest import SMALL, Harness
+from endless import ENDLESS_BODIES, ENDLESS_HEADS, by_name
 from helpers import raw_exchange, read_request
 from yarl import URL
 
@@ -155,6 +156,43 @@
     server.close()
 
 
+# These responses have no request id by which a node could tell them from the one that it waits for.
+ENDLESS = ENDLESS_HEADS | ENDLESS_BODIES
+del ENDLESS["responses to another request"]
+
+
+# Guards against a response without an end that is passed on for as long as its caller reads.
+@pytest.mark.parametrize(("start", "piece"), by_name(ENDLESS))
+async def test_response_without_end_ends_at_the_deadline(harness, start, piece):
+    closed = asyncio.Event()
+
+    async def handle(reader, writer):
+        await read_request(reader)
+        writer.write(start)
+        try:
+            while True:
+                writer.write(piece * (16_384 // len(piece)))
+                await writer.drain()
+                await asyncio.sleep(0.001)
+        except ConnectionError:
+            closed.set()
+
+    server, port = await serve_raw(handle)
+    await harness.only_upstream(port)
+    async with asyncio.timeout(3):
+        try:
+            status, headers, _ = await get(
+                harness, "/siparis/mine", headers={DEADLINE_HEADER: "500"}
+            )
+        except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+            # The head was forwarded already, so the failure shows as a broken connection.
+            pass
+        else:
+            assert (status // 100, headers["Peridot-Ran"]) == (5, "unknown")
+        await closed.wait()
+    server.close()
+
+
 async def test_late_response_is_not_sent_for_another_request(harness):
     """A response that arrives after its deadline must not be sent for the next request."""
     served_paths = []
