A leaving node answers the connections in its accept queue

Callers saw: "Connection reset by peer", or an end without an answer, for a request that they sent as a node stopped.

Cause: the listening socket was closed with whatever the kernel had completed and the node had not yet accepted; the kernel resets these. A connection accepted in the step before the close got no transport, because asyncio's server refuses one once it is closed, and was reset too. One accepted a step earlier, and each kept one, was marked as closing at once, so that bytes that arrived then were dropped.

Change: CallerListener owns the listening socket. At the end of the shutdown it stops the loop's accepting, accepts what is in the queue, closes the socket in the same step, and waits up to 0.5 s for requests on the connections that are left; these are answered as not run. Callers are closed before the admin and announce addresses.

What remains: a connection that the kernel completes between the last accept and the close of the socket, and a request on the way when a kept connection is closed.

--- a/peridottrack/callerserver.py
+++ b/peridottrack/callerserver.py
@@ -5,6 +5,8 @@
 import asyncio
 import re
 import secrets
+import socket
+from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -15,7 +17,7 @@
 from peridottrack.errors import ErrorKind, problem
 from peridottrack.exceptions import RequestError
 from peridottrack.metrics import Metrics
-from peridottrack.types import Clock, RequestId
+from peridottrack.types import Clock, Endpoint, RequestId
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 # How long an idle connection is kept.
@@ -25,6 +27,15 @@
 LINGER_S = 2.0
 # Limit of the request line and of each header.
 MAX_LINE_BYTES = 8 << 10
+# Connections that may wait to be accepted.
+BACKLOG = 128
+# How long the listener waits for open requests when it closes, after the drain.
+LISTENER_SHUTDOWN_S = 2.0
+# How long a closing listener waits for requests on its connections, to answer them.
+LAST_REQUESTS_S = 0.5
+CLOSE_POLL_INTERVAL_S = 0.01
+# Steps of the event loop from an accepted connection or a received request to its handler, at most.
+STEPS_TO_HANDLER = 4
 # Metric label of requests without a route.
 UNROUTED_SERVICE = "none"
 
@@ -137,6 +148,81 @@
         )
 
 
+class CallerListener:
+    """Accepts callers' connections and hands them to the HTTP server."""
+
+    def __init__(self, caller_server: CallerServer) -> None:
+        self._caller_server = caller_server
+        self._server = caller_server.server()
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=LISTENER_SHUTDOWN_S)
+
+    async def start(self, endpoint: Endpoint) -> None:
+        """Start to listen."""
+        family = socket.AF_INET6 if ":" in endpoint.host else socket.AF_INET
+        self._socket = socket.create_server(
+            (endpoint.host, endpoint.port), family=family, backlog=BACKLOG
+        )
+        await self._runner.setup()
+        self._site = web.SockSite(self._runner, self._socket, backlog=BACKLOG)
+        await self._site.start()
+
+    async def finish(self) -> None:
+        """Stop listening, and answer the requests that have reached this host.
+
+        The node must be leaving by then, so that each response ends its connection.
+        """
+        await self._stop_accepting()
+        await _wait_until(lambda: not self._server.connections, LAST_REQUESTS_S)
+
+    async def close(self) -> None:
+        """Close the listening socket and all connections."""
+        await self._runner.cleanup()
+
+    async def _stop_accepting(self) -> None:
+        """Close the listening socket after accepting the connections in its queue.
+
+        The kernel resets those that are left in the queue.
+        """
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        # A connection that was accepted just now gets its transport in the next step. It would get
+        # none, and be reset, once the site has stopped.
+        await asyncio.sleep(0)
+        accepted = [
+            loop.connect_accepted_socket(self._server, connection)
+            for connection in _accept_all(self._socket)
+        ]
+        await self._site.stop()
+        await asyncio.gather(*accepted, return_exceptions=True)
+        await _run_steps(STEPS_TO_HANDLER)
+
+
+async def _wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
+    """Wait until a condition holds or the time is over."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    while not condition() and loop.time() < end:
+        await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+
+
+async def _run_steps(count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def _accept_all(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections in the queue of a listening socket."""
+    connections = []
+    while True:
+        try:
+            connections.append(listening.accept()[0])
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # The queue is empty, or the process may not open more files.
+            return connections
+
+
 async def _send_head(call: Call, response: Response) -> web.StreamResponse:
     length = response.headers.popall("Content-Length", None)
     stream_response = web.StreamResponse(status=response.status, headers=response.headers)
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -20,7 +20,7 @@
 )
 from peridottrack.bucket import LoadReportBudget
 from peridottrack.call import build_chain
-from peridottrack.callerserver import CallerServer
+from peridottrack.callerserver import CallerListener, CallerServer
 from peridottrack.claims import ClaimStore, RowClaimStore
 from peridottrack.clock import LoopClock
 from peridottrack.config import Settings, parse_endpoint
@@ -57,8 +57,6 @@
 """Timeout for establishing a TCP connection to an upstream, the platform or another node."""
 UPSTREAM_KEEPALIVE_S = 15.0
 """Seconds after which an idle connection to an upstream is closed."""
-LISTENER_SHUTDOWN_S = 2.0
-"""Seconds that the callers' listener waits for open requests when it closes, after the drain."""
 # Headers that aiohttp's client would add by itself: the upstream gets only the caller's headers.
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -98,7 +96,7 @@
         self._spawn(self.load_reports.run())
         self.load_reports.start_detector()
         self._spawn(self._wake_queues())
-        await self._listen_callers()
+        await self.caller_listener.start(parse_endpoint(self.settings.callers_address))
         log.event("node started", node=self.settings.gossip_address)
 
     async def leave(self) -> bool:
@@ -109,6 +107,7 @@
         idle = await self.drain.wait_idle(self.settings.drain_s)
         settled = await self.claims.wait_for_repairs(self.settings.drain_s)
         await self.members.leave()
+        await self.caller_listener.finish()
         await self.close()
         log.event("node left", idle=idle, claims_settled=settled)
         return idle and settled
@@ -119,6 +118,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.caller_listener.close()
         for runner in self._runners:
             await runner.cleanup()
         for session in self._sessions:
@@ -246,7 +246,8 @@
             ],
             Dispatcher(pooled, unpooled, self.poison, self.metrics, self._clock),
         )
-        self.caller_server = CallerServer(chain, self.drain, self._clock, self.metrics)
+        caller_server = CallerServer(chain, self.drain, self._clock, self.metrics)
+        self.caller_listener = CallerListener(caller_server)
 
     def _session(
         self, connector: aiohttp.TCPConnector, *middlewares: aiohttp.ClientMiddlewareType
@@ -275,10 +276,6 @@
         announce = announce_app(self.announce, host)
         await self._listen(web.AppRunner(announce, access_log=None), self.settings.announce_address)
 
-    async def _listen_callers(self) -> None:
-        runner = web.ServerRunner(self.caller_server.server(), shutdown_timeout=LISTENER_SHUTDOWN_S)
-        await self._listen(runner, self.settings.callers_address)
-
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
         endpoint = parse_endpoint(address)
         await runner.setup()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,146 @@
+"""The graceful shutdown of a node: each request that reaches it gets a final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+from collections import Counter
+
+import aiohttp
+import pytest
+from conftest import SMALL
+
+from peridottrack.config import parse_endpoint
+from peridottrack.controllers import drain
+from peridottrack.node import Node
+from peridottrack.standin.cluster import Cluster
+
+REQUEST = b"GET /siparis/mine HTTP/1.1\r\nHost: x\r\n\r\n"
+ANSWER_S = 10.0
+"""Longest time for an answer or for the end of a connection."""
+CALLERS = 8
+RESTARTS = 8
+
+
+@pytest.fixture
+def short_grace(monkeypatch):
+    monkeypatch.setattr(drain, "LEAVE_GRACE_S", 0.1)
+
+
+@pytest.fixture
+async def host(short_grace):
+    """The only host of a cluster."""
+    cluster = Cluster(SMALL, service_s=0.002)
+    await cluster.start(per_service=1)
+    yield cluster.hosts[0]
+    await cluster.stop()
+
+
+def connect(host):
+    """Connect to a node within one step of the event loop."""
+    endpoint = parse_endpoint(host.node.settings.callers_address)
+    connection = socket.create_connection((endpoint.host, endpoint.port), ANSWER_S)
+    connection.setblocking(False)
+    return connection
+
+
+async def read_answer(connection):
+    """Read until the head of a response is complete, or until the peer closes."""
+    loop = asyncio.get_running_loop()
+    data = b""
+    async with asyncio.timeout(ANSWER_S):
+        while b"\r\n\r\n" not in data:
+            chunk = await loop.sock_recv(connection, 65_536)
+            if not chunk:
+                break
+            data += chunk
+    return data
+
+
+def assert_not_run(answer):
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    for header in (b"Peridot-Error: draining", b"Peridot-Ran: no", b"Retry-After: 1"):
+        assert header in answer
+    assert b"Connection: close" in answer
+
+
+async def close_listener(node):
+    await node.caller_listener.finish()
+    await node.caller_listener.close()
+
+
+async def let_run(steps):
+    for _ in range(steps):
+        await asyncio.sleep(0)
+
+
+# A connection was reset that the kernel had completed but the node not yet taken up.
+@pytest.mark.parametrize("steps", range(6))
+async def test_connection_made_in_the_moment_of_the_close_is_answered(host, steps):
+    host.node.drain.leave()
+    await host.node.drain.wait_idle(ANSWER_S)
+    with connect(host) as connection:
+        connection.send(REQUEST)
+        await let_run(steps)
+        closing = asyncio.ensure_future(close_listener(host.node))
+        assert_not_run(await read_answer(connection))
+        await closing
+
+
+@pytest.fixture
+async def kept(host):
+    """A node that rejects new calls, and a kept connection to it."""
+    with connect(host) as connection:
+        connection.send(REQUEST)
+        assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
+        host.node.drain.leave()
+        await host.node.drain.wait_idle(ANSWER_S)
+        yield host.node, connection
+
+
+# A request on a kept connection was dropped without an answer while the node closed.
+@pytest.mark.parametrize("steps", range(-4, 8))
+async def test_request_on_a_kept_connection_during_the_close_is_answered(kept, steps):
+    node, connection = kept
+    if steps < 0:
+        connection.send(REQUEST)
+        await let_run(-steps)
+    closing = asyncio.ensure_future(close_listener(node))
+    if steps >= 0:
+        await let_run(steps)
+        connection.send(REQUEST)
+    assert_not_run(await read_answer(connection))
+    await closing
+
+
+# Restarts under load reset connections of callers, or ended them without an answer.
+async def test_restarts_under_load_answer_each_caller(host):
+    results = Counter()
+
+    async def send_orders(session, caller):
+        for number in itertools.count():
+            if results["stop"]:
+                return
+            headers = {"Idempotency-Key": f"{caller}-{number}", "Authorization": "Bearer club"}
+            url = host.url + "/siparis/orders"
+            try:
+                async with session.post(url, data=b"x", headers=headers) as response:
+                    await response.read()
+                    results[response.status] += 1
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.001)
+            except aiohttp.ClientError as error:
+                results[repr(error)] += 1
+
+    async with aiohttp.ClientSession() as session:
+        callers = [asyncio.ensure_future(send_orders(session, name)) for name in range(CALLERS)]
+        for _ in range(RESTARTS):
+            await asyncio.sleep(0.1)
+            assert await host.node.leave()
+            host.node = Node(host.node.settings)
+            await host.node.start()
+        results["stop"] = 1
+        await asyncio.gather(*callers)
+    assert results.keys() <= {"stop", 200, 503}
+    assert results[200] and results[503]
