A leaving node ends kept connections without a reset

Callers saw: "Connection reset by peer" on a kept connection, if their request arrived in the moment in which a leaving node closed it.

Cause: closing a socket that has unread bytes resets its connection. Between the last read and the close lay some steps of the loop.

Change: the listener pauses reading on idle connections, lets the requests that were read reach their handler, and ends only those connections that are still idle and have no unread bytes: it sends the end of its side at once, reads on, and closes the socket when the caller has closed or 0.5 s later. Others are read on, and their request is answered as not run.

What remains: a request that was on the way when the node ended its side gets no answer; the caller sees an orderly end of the connection.

--- a/peridottrack/callerserver.py
+++ b/peridottrack/callerserver.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import secrets
+import select
 import socket
 from collections.abc import Callable
 
@@ -33,6 +34,8 @@
 LISTENER_SHUTDOWN_S = 2.0
 # How long a closing listener waits for requests on its connections, to answer them.
 LAST_REQUESTS_S = 0.5
+# How long a closing listener then waits until its connections have ended.
+LAST_ANSWERS_S = 0.5
 CLOSE_POLL_INTERVAL_S = 0.01
 # Steps of the event loop from an accepted connection or a received request to its handler, at most.
 STEPS_TO_HANDLER = 4
@@ -56,6 +59,11 @@
         self._drain = drain
         self._clock = clock
         self._metrics = metrics
+        self._busy: set[web.RequestHandler] = set()
+
+    def is_idle(self, connection: web.RequestHandler) -> bool:
+        """Whether no response is due on a connection; while leaving, a response also ends it."""
+        return connection not in self._busy
 
     def server(self) -> web.Server:
         """Return the HTTP server, not yet listening."""
@@ -73,6 +81,7 @@
         """Handle one request."""
         call = Call(request, _request_id(request), self._clock.now())
         self._drain.call_started()
+        self._busy.add(request.protocol)
         outcome = "abandoned"
         try:
             response = await self._respond(call)
@@ -80,6 +89,8 @@
             return await self._send(call, response)
         finally:
             self._drain.call_ended()
+            if not self._drain.is_leaving:
+                self._busy.discard(request.protocol)
             self._record_outcome(call, outcome)
 
     async def _respond(self, call: Call) -> Response:
@@ -167,12 +178,14 @@
         await self._site.start()
 
     async def finish(self) -> None:
-        """Stop listening, and answer the requests that have reached this host.
+        """Stop listening, answer the requests that have reached this host, and close.
 
         The node must be leaving by then, so that each response ends its connection.
         """
         await self._stop_accepting()
         await _wait_until(lambda: not self._server.connections, LAST_REQUESTS_S)
+        await self._close_idle()
+        await _wait_until(lambda: not self._server.connections, LAST_ANSWERS_S)
 
     async def close(self) -> None:
         """Close the listening socket and all connections."""
@@ -196,6 +209,27 @@
         await asyncio.gather(*accepted, return_exceptions=True)
         await _run_steps(STEPS_TO_HANDLER)
 
+    async def _close_idle(self) -> None:
+        """End the connections on which no request has arrived.
+
+        Closing a socket with unread bytes resets its connection. Therefore reading is paused
+        until it is known which connections have none.
+        """
+        transports = {
+            connection: connection.transport
+            for connection in self._server.connections
+            if connection.transport is not None and self._caller_server.is_idle(connection)
+        }
+        for transport in transports.values():
+            transport.pause_reading()
+        await _run_steps(STEPS_TO_HANDLER)
+        for connection, transport in transports.items():
+            if self._caller_server.is_idle(connection) and not _has_unread_bytes(transport):
+                if transport.can_write_eof():
+                    transport.write_eof()
+                connection.close()
+            transport.resume_reading()
+
 
 async def _wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
     """Wait until a condition holds or the time is over."""
@@ -223,6 +257,14 @@
             return connections
 
 
+def _has_unread_bytes(transport: asyncio.Transport) -> bool:
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def _send_head(call: Call, response: Response) -> web.StreamResponse:
     length = response.headers.popall("Content-Length", None)
     stream_response = web.StreamResponse(status=response.status, headers=response.headers)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import socket
 from collections import Counter
@@ -11,6 +12,7 @@
 import pytest
 from conftest import SMALL
 
+from peridottrack import callerserver
 from peridottrack.config import parse_endpoint
 from peridottrack.controllers import drain
 from peridottrack.node import Node
@@ -114,6 +116,21 @@
     await closing
 
 
+# A kept connection was reset if a request arrived in the moment of its close.
+@pytest.mark.parametrize("steps", range(10))
+async def test_kept_connection_ends_without_a_reset(kept, monkeypatch, steps):
+    monkeypatch.setattr(callerserver, "LAST_REQUESTS_S", 0.0)
+    node, connection = kept
+    closing = asyncio.ensure_future(close_listener(node))
+    await let_run(steps)
+    with contextlib.suppress(BrokenPipeError):
+        connection.send(REQUEST)
+    answer = await read_answer(connection)
+    if answer:
+        assert_not_run(answer)
+    await closing
+
+
 # Restarts under load reset connections of callers, or ended them without an answer.
 async def test_restarts_under_load_answer_each_caller(host):
     results = Counter()
