A shutdown waits for claimed calls whose callers have disconnected

Callers saw: 409 for good (in_progress, later outcome_unknown) when they sent an order again to another node, although the order had run, if they had disconnected while it ran and its node left meanwhile.

Cause: a claimed call goes on without its caller, but the drain counted only calls with a caller. The node closed its client sessions while such a call ran, and its outcome was never recorded.

Evidence: test_shutdown_waits_for_an_order_whose_caller_disconnected failed with "assert (409, None) == (200, 'yes')".

Change: the drain also waits for the claimed calls in progress.

Result: the test passes; make lint passes.

--- a/peridottrack/controllers/drain.py
+++ b/peridottrack/controllers/drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -61,11 +62,17 @@
             self.state = NodeState.LEAVING
             self._rejects_from = self._clock.now() + LEAVE_GRACE_S
 
-    async def wait_idle(self, timeout_s: float) -> bool:
-        """Wait until new calls are rejected and none is in flight, then close; False on timeout."""
+    async def wait_idle(self, timeout_s: float, abandoned: Callable[[], int] = lambda: 0) -> bool:
+        """Wait until new calls are rejected and none is in flight, then close; False on timeout.
+
+        Parameters
+        ----------
+        abandoned
+            Returns the number of calls that go on although their callers have disconnected.
+        """
         deadline = self._clock.now() + timeout_s
         while self._clock.now() < deadline:
-            if self.rejects_calls and not self.in_flight:
+            if self.rejects_calls and not self.in_flight and not abandoned():
                 self.state = NodeState.CLOSED
                 return True
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -104,7 +104,7 @@
         log.event("node leaves", node=self.settings.gossip_address)
         self.drain.leave()
         self.announce.drain_all()
-        idle = await self.drain.wait_idle(self.settings.drain_s)
+        idle = await self.drain.wait_idle(self.settings.drain_s, lambda: self.claim_filter.running)
         settled = await self.claims.wait_for_repairs(self.settings.drain_s)
         await self.members.leave()
         await self.caller_listener.finish()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,11 +31,11 @@
     def node(self, number: int = 0) -> Host:
         return self.cluster.hosts[number]
 
-    async def only_upstream(self, port: int) -> None:
+    async def only_upstream(self, port: int, slots: int = 18) -> None:
         """Make a raw server the only instance of the service, local to the first node."""
         for host in self.cluster.hosts:
             await host.upstream.stop()
-        announcement = Announcement(service="siparis", port=port, slots=18, connections=240)
+        announcement = Announcement(service="siparis", port=port, slots=slots, connections=240)
         self.node().node.announce.announce(InstanceId("raw"), announcement)
         # Nothing renews the announcement, so its lease must outlive the test.
         self.node().node.announce.local_by_id[InstanceId("raw")].renewed_at += 1_000
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -7,22 +7,30 @@
 import itertools
 import socket
 from collections import Counter
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
-from conftest import SMALL
+from conftest import SMALL, Harness
+from helpers import read_request
 
 from peridottrack import callerserver
 from peridottrack.config import parse_endpoint
 from peridottrack.controllers import drain
 from peridottrack.node import Node
 from peridottrack.standin.cluster import Cluster
+from peridottrack.types import ServiceName
 
 REQUEST = b"GET /siparis/mine HTTP/1.1\r\nHost: x\r\n\r\n"
 ANSWER_S = 10.0
 """Longest time for an answer or for the end of a connection."""
 CALLERS = 8
 RESTARTS = 8
+DRAIN_S = 2.0
+"""Duration of a shutdown that is shorter than the deadline of an order."""
+CLOSE_S = 1.5
+"""Time beyond `DRAIN_S` for the node to close."""
+ORDER_HEADERS = {"Idempotency-Key": "k-1", "Authorization": "Bearer club"}
 
 
 @pytest.fixture
@@ -161,3 +169,67 @@
         await asyncio.gather(*callers)
     assert results.keys() <= {"stop", 200, 503}
     assert results[200] and results[503]
+
+
+@pytest.fixture
+async def busy(short_grace):
+    """Two nodes and a caller; both nodes' only instance is a server that answers when told to."""
+    cluster = Cluster(SMALL, service_s=0.002, drain_s=DRAIN_S)
+    await cluster.start(per_service=2)
+    upstream = HeldUpstream()
+    server = await asyncio.start_server(upstream.handle, "127.0.0.1", 0)
+    async with aiohttp.ClientSession() as session:
+        harness = Harness(cluster, session)
+        await harness.only_upstream(server.sockets[0].getsockname()[1], slots=1)
+        service = cluster.hosts[1].node.load.service_by_name[ServiceName("siparis")]
+        async with asyncio.timeout(ANSWER_S):
+            while service.balancer.view_by_id.keys() != {"raw"}:
+                await asyncio.sleep(0.02)
+        yield SimpleNamespace(
+            leaving=cluster.hosts[1], staying=cluster.hosts[0], session=session, upstream=upstream
+        )
+    upstream.release.set()
+    server.close()
+    await cluster.stop()
+
+
+class HeldUpstream:
+    """Holds each request until it is released."""
+
+    def __init__(self):
+        self.received = asyncio.Event()
+        self.release = asyncio.Event()
+
+    async def handle(self, reader, writer):
+        await read_request(reader)
+        self.received.set()
+        await self.release.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+
+async def send_order(busy, host, key="k-1"):
+    headers = {**ORDER_HEADERS, "Idempotency-Key": key}
+    url = host.url + "/siparis/orders"
+    async with busy.session.post(url, data=b"x", headers=headers) as response:
+        await response.read()
+        return response.status, response.headers
+
+
+async def leave_in_time(node):
+    async with asyncio.timeout(DRAIN_S + CLOSE_S):
+        return await node.leave()
+
+
+# The outcome of an order whose caller had disconnected was lost, and its claim stayed open.
+async def test_shutdown_waits_for_an_order_whose_caller_disconnected(busy):
+    order = asyncio.ensure_future(send_order(busy, busy.leaving))
+    await asyncio.wait_for(busy.upstream.received.wait(), ANSWER_S)
+    order.cancel()
+    await asyncio.wait([order])
+    leaving = asyncio.ensure_future(leave_in_time(busy.leaving.node))
+    await asyncio.sleep(0.5)
+    busy.upstream.release.set()
+    assert await leaving
+    status, headers = await send_order(busy, busy.staying)
+    assert (status, headers.get("Peridot-Replayed")) == (200, "yes")
