A shutdown ends each call in time to answer it

Callers saw: a closed connection instead of an answer, if their request ran or waited for a slot at the end of drain_s. The claim of a keyed one stayed open, so that a resend was never run, also if the first had only waited.

Cause: calls were taken and kept with their own deadlines, whatever was left of the shutdown; at its end the listener cut them. With drain_s below the 3 s of grace the node never reached the state in which it rejects calls.

Change: the drain knows the calls in flight and, when the node leaves, brings their deadlines forward to the end of drain_s less two spans of 1 s (at most a quarter of drain_s each): one to settle claims, one to answer. A call taken later gets the same limit, and the upstream is told it. A call that was not dispatched by then is refused as not run and its claim made void; one that was is answered as unknown and recorded so. The grace is at most half of drain_s.

What remains: a streamed answer whose head was sent can only be cut. Repairs of claims may still take drain_s once more.

--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -83,6 +83,10 @@
     claiming
         Whether a claim was requested. From then on "not run" may be reported only once the claim
         is void.
+    run_by, settle_s
+        Time at which a shutdown ends the call, and seconds after it to settle its claim.
+    limited, on_limited
+        Resolved and called when a shutdown limits the call.
     on_slow
         Called when the chosen instance is reported slow; None if no hedge is possible.
     """
@@ -103,6 +107,30 @@
     chosen: Attempt | None = None
     on_slow: Callable[[], object] | None = None
     claiming: bool = False
+    run_by: float = float("inf")
+    settle_s: float = 0.0
+    limited: asyncio.Future[None] | None = None
+    on_limited: Callable[[], None] | None = None
+
+    def limit(self, run_by: float, settle_s: float) -> None:
+        """Bring the deadline forward, because the node ends."""
+        self.run_by = run_by
+        self.settle_s = settle_s
+        self.deadline = min(self.deadline, run_by)
+        if self.limited is not None and not self.limited.done():
+            self.limited.set_result(None)
+        if self.on_limited is not None:
+            self.on_limited()
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the end of the node, not the caller's deadline, limits the call."""
+        return self.deadline >= self.run_by
+
+    @property
+    def answer_by(self) -> float:
+        """Time by which the caller gets an answer."""
+        return self.deadline + self.settle_s if self.is_cut and self.claiming else self.deadline
 
     @property
     def service(self) -> ServiceName:
--- a/peridottrack/callerserver.py
+++ b/peridottrack/callerserver.py
@@ -80,7 +80,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         call = Call(request, _request_id(request), self._clock.now())
-        self._drain.call_started()
+        self._drain.call_started(call)
         self._busy.add(request.protocol)
         outcome = "abandoned"
         try:
@@ -88,7 +88,7 @@
             outcome = response.headers.get("Peridot-Error", "ok")
             return await self._send(call, response)
         finally:
-            self._drain.call_ended()
+            self._drain.call_ended(call)
             if not self._drain.is_leaving:
                 self._busy.discard(request.protocol)
             self._record_outcome(call, outcome)
--- a/peridottrack/controllers/claims.py
+++ b/peridottrack/controllers/claims.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -111,8 +112,8 @@
     async def _claim(self, call: Call, record: ClaimRecord) -> ClaimReply:
         """Request the claim; after the deadline, the store's reply is handled in the background."""
         task = asyncio.ensure_future(self._store.claim(record))
-        done, _ = await asyncio.wait([task], timeout=call.deadline - self._clock.now())
-        if done:
+        await self._wait(call, task, lambda: call.deadline)
+        if task.done():
             reply = task.result()
             if reply.status is ClaimStatus.UNSETTLED and reply.handle is not None:
                 self._start_repair(self._void_unsettled(reply.handle))
@@ -144,16 +145,29 @@
         """
         task = asyncio.ensure_future(proceed(call))
         try:
-            await asyncio.wait([task], timeout=call.deadline - self._clock.now())
+            await self._wait(call, task, lambda: call.deadline)
             if not task.done() and call.progress.dispatched:
-                await asyncio.wait([task], timeout=LATE_RESPONSE_S)
+                late = self._clock.now() + LATE_RESPONSE_S
+                await self._wait(call, task, lambda: min(late, call.run_by))
         finally:
             await cancel_and_wait(task)
         if not task.cancelled():
             return task.result()
         if call.progress.dispatched:
-            raise RequestError(ErrorKind.DEADLINE_PASSED)
-        raise RequestError(ErrorKind.TOO_LATE)
+            detail = "The node is leaving." if call.is_cut else ""
+            raise RequestError(ErrorKind.DEADLINE_PASSED, detail)
+        raise RequestError(ErrorKind.DRAINING if call.is_cut else ErrorKind.TOO_LATE)
+
+    async def _wait(self, call: Call, task: asyncio.Future[Any], end: Callable[[], float]) -> None:
+        """Wait for a task until a time that comes earlier if a shutdown limits the call."""
+        waited: list[asyncio.Future[Any]] = [task]
+        if call.limited is not None and not call.limited.done():
+            waited.append(call.limited)
+        await asyncio.wait(
+            waited, timeout=end() - self._clock.now(), return_when=asyncio.FIRST_COMPLETED
+        )
+        if len(waited) > 1 and call.limited is not None and call.limited.done():
+            await asyncio.wait([task], timeout=end() - self._clock.now())
 
     async def _complete(self, call: Call, handle: ClaimHandle, response: Response) -> Response:
         if response.body is None and response.stream is not None:
--- a/peridottrack/controllers/drain.py
+++ b/peridottrack/controllers/drain.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Any
 
+from peridottrack.call import Call
 from peridottrack.metrics import Metrics
 from peridottrack.types import Clock
 
 LEAVE_GRACE_S = 3.0
 POLL_INTERVAL_S = 0.02
+SETTLE_S = 1.0
+"""Longest time kept for settling claims after calls have to end, and again for answers."""
+GRACE_SHARE = 0.5
+"""Largest share of a shutdown in which the node still serves."""
+SETTLE_SHARE = 0.25
+"""Largest share of a shutdown for settling claims, and again for answers."""
 
 
 class NodeState(Enum):
@@ -33,8 +40,10 @@
         self._clock = clock
         self._metrics = metrics
         self.state = NodeState.SERVING
-        self.in_flight = 0
         self._rejects_from = float("inf")
+        self._run_by = float("inf")
+        self._settle_s = 0.0
+        self._calls: dict[int, Call] = {}
 
     @property
     def rejects_calls(self) -> bool:
@@ -46,21 +55,42 @@
         """Whether the node is leaving; connections are then closed after the response."""
         return self.state is not NodeState.SERVING
 
-    def call_started(self) -> None:
-        """Count a call in flight."""
-        self.in_flight += 1
+    @property
+    def in_flight(self) -> int:
+        """Number of calls in flight."""
+        return len(self._calls)
+
+    def call_started(self, call: Call) -> None:
+        """Count a call in flight; while leaving, limit it to what is left of the shutdown."""
+        self._calls[id(call)] = call
         self._metrics.in_flight.set(self.in_flight)
+        if self.is_leaving:
+            call.limit(self._run_by, self._settle_s)
 
-    def call_ended(self) -> None:
+    def call_ended(self, call: Call) -> None:
         """Stop counting a call whose response was sent or abandoned."""
-        self.in_flight -= 1
+        del self._calls[id(call)]
         self._metrics.in_flight.set(self.in_flight)
 
-    def leave(self) -> None:
-        """Start the graceful shutdown."""
-        if self.state is NodeState.SERVING:
-            self.state = NodeState.LEAVING
-            self._rejects_from = self._clock.now() + LEAVE_GRACE_S
+    def leave(self, timeout_s: float, abandoned: Iterable[Call] = ()) -> None:
+        """Start the graceful shutdown, and limit all calls so that each can be answered.
+
+        Parameters
+        ----------
+        timeout_s
+            Duration of the shutdown.
+        abandoned
+            Calls that go on although their callers have disconnected.
+        """
+        if self.state is not NodeState.SERVING:
+            return
+        now = self._clock.now()
+        self.state = NodeState.LEAVING
+        self._rejects_from = now + min(LEAVE_GRACE_S, timeout_s * GRACE_SHARE)
+        self._settle_s = min(SETTLE_S, timeout_s * SETTLE_SHARE)
+        self._run_by = now + timeout_s - 2 * self._settle_s
+        for call in {**self._calls, **{id(call): call for call in abandoned}}.values():
+            call.limit(self._run_by, self._settle_s)
 
     async def wait_idle(self, timeout_s: float, abandoned: Callable[[], int] = lambda: 0) -> bool:
         """Wait until new calls are rejected and none is in flight, then close; False on timeout.
--- a/peridottrack/filters/claim.py
+++ b/peridottrack/filters/claim.py
@@ -18,7 +18,7 @@
 
     def __init__(self, claims: ClaimsController) -> None:
         self._claims = claims
-        self._running: set[asyncio.Task[Response]] = set()
+        self._call_by_task: dict[asyncio.Task[Response], Call] = {}
 
     async def __call__(self, call: Call, proceed: Proceed) -> Response:
         """Claim the call if it is keyed; pass other calls on."""
@@ -36,14 +36,17 @@
             raise RequestError(ErrorKind.BODY_TOO_LARGE, "A keyed call must be small enough.")
         claim = claim_id(key, call.route.path, call.credential)
         call.claiming = True
+        call.limited = asyncio.get_running_loop().create_future()
+        if call.on_limited is not None and call.is_cut:
+            call.on_limited()
         # A claimed call continues when its caller disconnects, so that a resend gets its response.
         task = asyncio.create_task(self._claims.run(call, claim, proceed))
-        self._running.add(task)
+        self._call_by_task[task] = call
         task.add_done_callback(self._on_done)
         return await asyncio.shield(task)
 
     def _on_done(self, task: asyncio.Task[Response]) -> None:
-        self._running.discard(task)
+        del self._call_by_task[task]
         # If the caller has disconnected nobody awaits the task. Its exception is read here, so that
         # asyncio does not log it as never retrieved.
         if not task.cancelled():
@@ -52,7 +55,12 @@
     @property
     def running(self) -> int:
         """Number of claimed calls in progress, including those whose caller disconnected."""
-        return len(self._running)
+        return len(self._call_by_task)
+
+    @property
+    def calls(self) -> list[Call]:
+        """The claimed calls in progress."""
+        return list(self._call_by_task.values())
 
 
 def parse_key(header: str | None) -> str | None:
--- a/peridottrack/filters/deadline.py
+++ b/peridottrack/filters/deadline.py
@@ -18,13 +18,23 @@
         if not requested_ms.isascii() or not requested_ms.isdigit():
             raise RequestError(ErrorKind.BAD_REQUEST, f"{DEADLINE_HEADER} takes milliseconds.")
         timeout_s = min(timeout_s, int(requested_ms) / 1000)
-    call.deadline = call.started_at + timeout_s
+    call.deadline = min(call.started_at + timeout_s, call.run_by)
     try:
-        async with asyncio.timeout_at(call.deadline):
-            return await proceed(call)
+        async with asyncio.timeout_at(call.answer_by) as timeout:
+
+            def reschedule() -> None:
+                if not timeout.expired():
+                    timeout.reschedule(call.answer_by)
+
+            call.on_limited = reschedule
+            try:
+                return await proceed(call)
+            finally:
+                call.on_limited = None
     except TimeoutError:
         if call.progress.dispatched:
-            raise RequestError(ErrorKind.DEADLINE_PASSED) from None
+            detail = "The node is leaving." if call.is_cut else ""
+            raise RequestError(ErrorKind.DEADLINE_PASSED, detail) from None
         if call.claiming:
             raise RequestError(ErrorKind.CLAIM_UNSETTLED) from None
-        raise RequestError(ErrorKind.TOO_LATE) from None
+        raise RequestError(ErrorKind.DRAINING if call.is_cut else ErrorKind.TOO_LATE) from None
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -102,7 +102,7 @@
     async def leave(self) -> bool:
         """Shut down after all calls and claims have finished; False if a timeout expired first."""
         log.event("node leaves", node=self.settings.gossip_address)
-        self.drain.leave()
+        self.drain.leave(self.settings.drain_s, self.claim_filter.calls)
         self.announce.drain_all()
         idle = await self.drain.wait_idle(self.settings.drain_s, lambda: self.claim_filter.running)
         settled = await self.claims.wait_for_repairs(self.settings.drain_s)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -88,7 +88,7 @@
 # A connection was reset that the kernel had completed but the node not yet taken up.
 @pytest.mark.parametrize("steps", range(6))
 async def test_connection_made_in_the_moment_of_the_close_is_answered(host, steps):
-    host.node.drain.leave()
+    host.node.drain.leave(ANSWER_S)
     await host.node.drain.wait_idle(ANSWER_S)
     with connect(host) as connection:
         connection.send(REQUEST)
@@ -104,7 +104,7 @@
     with connect(host) as connection:
         connection.send(REQUEST)
         assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
-        host.node.drain.leave()
+        host.node.drain.leave(ANSWER_S)
         await host.node.drain.wait_idle(ANSWER_S)
         yield host.node, connection
 
@@ -221,6 +221,45 @@
         return await node.leave()
 
 
+# A running order was cut with a closed connection, and its claim stayed open for good.
+async def test_order_that_outlasts_the_shutdown_is_answered_as_unknown(busy):
+    order = asyncio.ensure_future(send_order(busy, busy.leaving))
+    await asyncio.wait_for(busy.upstream.received.wait(), ANSWER_S)
+    assert await leave_in_time(busy.leaving.node)
+    status, headers = await order
+    assert (status, headers["Peridot-Ran"]) == (504, "unknown")
+    status, headers = await send_order(busy, busy.staying)
+    assert (status, headers["Peridot-Error"]) == (409, "outcome_unknown")
+
+
+# An order that waited for a slot was cut with a closed connection, and its key was spent.
+async def test_order_that_waits_beyond_the_shutdown_is_refused_as_not_run(busy):
+    running = asyncio.ensure_future(send_order(busy, busy.leaving))
+    await asyncio.wait_for(busy.upstream.received.wait(), ANSWER_S)
+    waiting = asyncio.ensure_future(send_order(busy, busy.leaving, "k-2"))
+    service = busy.leaving.node.load.service_by_name["siparis"]
+    async with asyncio.timeout(ANSWER_S):
+        while not service.queue:
+            await asyncio.sleep(0.01)
+    assert await leave_in_time(busy.leaving.node)
+    status, headers = await waiting
+    assert (status, headers["Peridot-Error"], headers["Peridot-Ran"]) == (503, "draining", "no")
+    assert "Retry-After" in headers
+    await running
+    busy.upstream.release.set()
+    assert (await send_order(busy, busy.staying, "k-2"))[0] == 200
+
+
+# A read taken while the node left was cut with a closed connection.
+async def test_read_taken_while_leaving_is_answered_before_the_end(busy, monkeypatch):
+    monkeypatch.setattr(drain, "LEAVE_GRACE_S", DRAIN_S / 4)
+    leaving = asyncio.ensure_future(leave_in_time(busy.leaving.node))
+    await asyncio.sleep(0.1)
+    async with busy.session.get(busy.leaving.url + "/siparis/mine") as response:
+        assert (response.status, response.headers["Peridot-Ran"]) == (504, "unknown")
+    assert await leaving
+
+
 # The outcome of an order whose caller had disconnected was lost, and its claim stayed open.
 async def test_shutdown_waits_for_an_order_whose_caller_disconnected(busy):
     order = asyncio.ensure_future(send_order(busy, busy.leaving))
@@ -233,3 +272,9 @@
     assert await leaving
     status, headers = await send_order(busy, busy.staying)
     assert (status, headers.get("Peridot-Replayed")) == (200, "yes")
+
+
+# A node with a short `drain_s` served until its end and never reached an orderly stop.
+async def test_grace_ends_within_a_short_shutdown(busy, monkeypatch):
+    monkeypatch.setattr(drain, "LEAVE_GRACE_S", 3.0)
+    assert await leave_in_time(busy.leaving.node)
