Shutdown tests: say only what their failures showed

Before the limit on calls, the three tests failed because the node had not closed in time or was not idle at the end of drain_s; that the connection was closed without an answer was read from the code, not seen in these failures. Only comments change.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -221,7 +221,7 @@
         return await node.leave()
 
 
-# A running order was cut with a closed connection, and its claim stayed open for good.
+# A running order outlasted the shutdown.
 async def test_order_that_outlasts_the_shutdown_is_answered_as_unknown(busy):
     order = asyncio.ensure_future(send_order(busy, busy.leaving))
     await asyncio.wait_for(busy.upstream.received.wait(), ANSWER_S)
@@ -232,7 +232,7 @@
     assert (status, headers["Peridot-Error"]) == (409, "outcome_unknown")
 
 
-# An order that waited for a slot was cut with a closed connection, and its key was spent.
+# An order that waited for a slot outlasted the shutdown.
 async def test_order_that_waits_beyond_the_shutdown_is_refused_as_not_run(busy):
     running = asyncio.ensure_future(send_order(busy, busy.leaving))
     await asyncio.wait_for(busy.upstream.received.wait(), ANSWER_S)
@@ -250,7 +250,7 @@
     assert (await send_order(busy, busy.staying, "k-2"))[0] == 200
 
 
-# A read taken while the node left was cut with a closed connection.
+# A read taken while the node left outlasted the shutdown.
 async def test_read_taken_while_leaving_is_answered_before_the_end(busy, monkeypatch):
     monkeypatch.setattr(drain, "LEAVE_GRACE_S", DRAIN_S / 4)
     leaving = asyncio.ensure_future(leave_in_time(busy.leaving.node))
