A link that responds is closed only once its requests have ended

Callers saw: 502 for an order that was running.

Cause: the member list drops a node whose datagrams are lost for some seconds, and its link was closed with it, though it responded and had requests in flight. Work that had been accepted was cut without a look at what still ran.

Change: the link of a removed member gets no new requests, and is closed once it has none in flight or responds no more.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -43,18 +43,25 @@
         self._link_by_node: dict[NodeId, Link] = {}
         self._task_by_node: dict[NodeId, asyncio.Task[None]] = {}
         self._incarnation_by_node: dict[NodeId, int] = {}
+        # Links of removed members that get no new requests.
+        self._task_by_removed_link: dict[Link, asyncio.Task[None]] = {}
         self._report_scheduled = False
         self._allowance = float(REPORT_BYTES_PER_S)
         self._allowance_updated_at = clock.now()
 
     def set_members(self, members: Iterable[MemberUpdate]) -> None:
-        """Open links to new members and close those to removed members."""
+        """Open links to new members and close those to removed members.
+
+        A link that responds is closed only once it has no request in flight, since a node may be
+        removed because of its datagrams alone.
+        """
         update_by_node = {update.node: update for update in members}
         update_by_node.pop(self._make_hello().node, None)
         for node in list(self._link_by_node):
             if node not in update_by_node:
-                self._task_by_node.pop(node).cancel()
-                del self._link_by_node[node]
+                removed = self._link_by_node.pop(node)
+                self._task_by_removed_link[removed] = self._task_by_node.pop(node)
+        self._close_removed()
         for node, update in update_by_node.items():
             link = self._link_by_node.get(node)
             if link is None:
@@ -65,13 +72,19 @@
                 link.reconnect_now()
             self._incarnation_by_node[node] = update.incarnation
 
+    def _close_removed(self) -> None:
+        for link in list(self._task_by_removed_link):
+            if not link.usable or not link.in_flight:
+                self._task_by_removed_link.pop(link).cancel()
+
     async def run(self) -> None:
         """Tick all links until cancelled; one timer for all costs less than one for each."""
         while True:
             await asyncio.sleep(TICK_S)
             now = self._clock.now()
-            for link in list(self._link_by_node.values()):
+            for link in (*self._link_by_node.values(), *self._task_by_removed_link):
                 link.tick(now)
+            self._close_removed()
 
     def is_responsive(self, node: NodeId) -> bool:
         """Return whether a node responds; known long before the membership removes the node."""
@@ -131,8 +144,10 @@
 
     async def stop(self) -> None:
         """Close all links."""
-        for task in self._task_by_node.values():
+        tasks = (*self._task_by_node.values(), *self._task_by_removed_link.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._task_by_node.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._task_by_node.clear()
+        self._task_by_removed_link.clear()
         self._link_by_node.clear()
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -121,6 +121,11 @@
     def _is_suspect(self, now: float) -> bool:
         return self._pinged_at > self.received_at and now - self._pinged_at > SUSPECT_AFTER_S
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests whose outcome has not been received."""
+        return len(self._waiter_by_number)
+
     def sent_since_report(self) -> int:
         """Return the number of requests in flight that were sent after the last received frame.
 
