--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -150,7 +150,7 @@
     def begin_close(self) -> None:
         """From now on, close a connection with the response to its last pending request.
 
-        Idle connections stay open until their next request or `is_drained`.
+        Idle connections stay open until their next request or `close_idle`.
         """
         self.closing = True
 
@@ -161,7 +161,7 @@
         for _ in range(STEPS_TO_CONNECTION):
             await asyncio.sleep(0)
 
-    def is_drained(self) -> bool:
+    def close_idle(self) -> bool:
         """Close the connections that are idle by now; return whether none is left.
 
         A connection is left until all bytes of its last response are sent.
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -198,7 +198,7 @@
         # this node.
         await self.ingress.stop_accepting()
         await self._wait_until(
-            lambda: self.ingress.is_drained() and not self._gate_requests, deadline
+            lambda: self.ingress.close_idle() and not self._gate_requests, deadline
         )
         idle = not self.ingress.in_flight and not self._gate_requests
         cut = self.ingress.in_flight
