A trailer no longer states that an order has not run

Callers saw: an order that ran, was sent to a second instance, ran there too, and was answered 503 as not run.

Cause: the parser reports trailers as headers, and they were added to those of the response, so that a Not-Executed behind the body counted as the instance's statement.

Change: what follows the head is not added to the headers.

Evidence: test_trailer_does_not_state_that_an_order_has_not_run failed with (503, 'no', 2) for (502, 'unknown', 1), and passes now.

--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -144,8 +144,8 @@
             raise ValueError("bytes follow the response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self._is_complete:
+        """Store a header; trailers, which the parser reports as headers too, are ignored."""
+        if not self._is_complete and not self._headers_done:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from endless import ENDLESS_BODIES, ENDLESS_HEADS, by_name
+from endless import CHUNKED, ENDLESS_BODIES, ENDLESS_HEADS, REQUEST_ID, by_name
 from mesh_world import ANNOUNCE, CALLERS, World
 from users_platform import DOCUMENT, document_bytes
 from yarl import URL
@@ -130,6 +130,15 @@
     await until_gates_are_free(world, 2)
 
 
+# Guards against an order that ran and is reported as not run, since a trailer counted as a header.
+async def test_trailer_does_not_state_that_an_order_has_not_run(world):
+    for host in world.hosts:
+        send_endless(host, CHUNKED + b"2\r\nok\r\n0\r\nNot-Executed: 1\r\n\r\n", b"", pause_s=1)
+    headers = {"Request-Id": REQUEST_ID.decode()}
+    status, _, headers = await world.call(world.hosts[0], "/order/1", "POST", **headers)
+    assert (status, headers["Peridot-Ran"], runs(world)) == (502, "unknown", 1)
+
+
 # Guards against a slot that is held past the deadline by a response that trickles in.
 async def test_order_with_a_slow_endless_answer_ends_at_its_deadline(world):
     for host in world.hosts:
