Names of the shutdown say what they hold

Cause: a reading of the change found names whose meaning had to be inferred: refuse_later_deadlines also takes requests with later deadlines, is_cut tells that a shutdown limits a call, not that it is cut, and two comments leaned on others.

Change: refuse_long_requests, is_limited, and both comments stand alone.

Result: formatter, linter and type checker are clean; no behaviour changes.

--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -123,14 +123,14 @@
             self.on_limited()
 
     @property
-    def is_cut(self) -> bool:
+    def is_limited(self) -> bool:
         """Whether the end of the node, not the caller's deadline, limits the call."""
         return self.deadline >= self.run_by
 
     @property
     def answer_by(self) -> float:
         """Time by which the caller gets an answer."""
-        return self.deadline + self.settle_s if self.is_cut and self.claiming else self.deadline
+        return self.deadline + self.settle_s if self.is_limited and self.claiming else self.deadline
 
     @property
     def service(self) -> ServiceName:
--- a/peridottrack/controllers/claims.py
+++ b/peridottrack/controllers/claims.py
@@ -154,9 +154,9 @@
         if not task.cancelled():
             return task.result()
         if call.progress.dispatched:
-            detail = "The node is leaving." if call.is_cut else ""
+            detail = "The node is leaving." if call.is_limited else ""
             raise RequestError(ErrorKind.DEADLINE_PASSED, detail)
-        raise RequestError(ErrorKind.DRAINING if call.is_cut else ErrorKind.TOO_LATE)
+        raise RequestError(ErrorKind.DRAINING if call.is_limited else ErrorKind.TOO_LATE)
 
     async def _wait(self, call: Call, task: asyncio.Future[Any], end: Callable[[], float]) -> None:
         """Wait for a task until a time that comes earlier if a shutdown limits the call."""
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -89,8 +89,8 @@
     on_crash
         Called with the fingerprint of a request that ran when the instance crashed.
     answer_by
-        Time of the node's clock, in seconds, until which requests that start later must end, since
-        this node shuts down.
+        Latest deadline, by the node's clock, of requests that arrive while this node shuts down;
+        infinite before.
     """
 
     def __init__(self, endpoint: Endpoint, header_names: HeaderNames, clock: Clock) -> None:
--- a/peridottrack/filters/claim.py
+++ b/peridottrack/filters/claim.py
@@ -37,7 +37,7 @@
         claim = claim_id(key, call.route.path, call.credential)
         call.claiming = True
         call.limited = asyncio.get_running_loop().create_future()
-        if call.on_limited is not None and call.is_cut:
+        if call.on_limited is not None and call.is_limited:
             call.on_limited()
         # A claimed call continues when its caller disconnects, so that a resend gets its response.
         task = asyncio.create_task(self._claims.run(call, claim, proceed))
--- a/peridottrack/filters/deadline.py
+++ b/peridottrack/filters/deadline.py
@@ -33,8 +33,8 @@
                 call.on_limited = None
     except TimeoutError:
         if call.progress.dispatched:
-            detail = "The node is leaving." if call.is_cut else ""
+            detail = "The node is leaving." if call.is_limited else ""
             raise RequestError(ErrorKind.DEADLINE_PASSED, detail) from None
         if call.claiming:
             raise RequestError(ErrorKind.CLAIM_UNSETTLED) from None
-        raise RequestError(ErrorKind.DRAINING if call.is_cut else ErrorKind.TOO_LATE) from None
+        raise RequestError(ErrorKind.DRAINING if call.is_limited else ErrorKind.TOO_LATE) from None
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -93,7 +93,7 @@
         self.nodes = 1  # nodes that share the resend budgets
         self._active: set[ForwardState] = set()
         self._answer_by = float("inf")
-        self._refuses_later_deadlines = False
+        self._refuses_long_requests = False
         self._request_id_header = header_names.request_id.encode()
         self._replaced_headers = frozenset(
             name.encode()
@@ -128,16 +128,16 @@
         for state in self._active:
             state.limit_deadline(answer_by)
 
-    def refuse_later_deadlines(self) -> None:
+    def refuse_long_requests(self) -> None:
         """From now on, refuse requests that may not end before the limit of `limit_deadlines`.
 
         Those with an earlier deadline of their own are still taken, and those that usually take
         a small part of the time that is left: the calls of runs that are ending on this host.
         """
-        self._refuses_later_deadlines = True
+        self._refuses_long_requests = True
 
     def _may_end_too_late(self, state: ForwardState) -> bool:
-        if not self._refuses_later_deadlines or state.deadline <= self._answer_by:
+        if not self._refuses_long_requests or state.deadline <= self._answer_by:
             return False
         left_s = self._answer_by - self._clock.now()
         return left_s < RUNS_TO_FINISH * self._run_s(state.route)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -62,7 +62,8 @@
 CLOSE_MARGIN_S = 0.4
 """Seconds at the end of ``shutdown_s`` that are reserved for closing connections."""
 ANSWER_MARGIN_S = 0.2
-"""Seconds before that in which the last requests get their response: above `OUTCOME_MARGIN_S`."""
+"""Seconds from the latest deadline of a request until connections are closed, in which its response
+is sent; more than `OUTCOME_MARGIN_S`."""
 LINK_STARTUP_S = 3.0
 """Seconds after a start in which links may still be connecting.
 
@@ -190,7 +191,7 @@
         await self._wait_until(self._platform_knows_unready, deadline - GATE_CLOSE_MARGIN_S)
         self.gate_controller.gate.stopping = True
         self.gate_controller.gate.close()
-        self.forwarder.refuse_later_deadlines()
+        self.forwarder.refuse_long_requests()
         gate_closed_at = self._clock.now()
         await self._wait_until(lambda: not self._gate_requests, deadline)
         gate_idle_at = self._clock.now()
