Gate: log the rate limit that an instance names, and what starts meanwhile

'rate limit' says both, at each change and every 4 s while a limit is named; 'rate limit unreadable' says why one was passed over. Nothing is enforced yet. The header's name is the platform's and stays in its folder.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -13,7 +13,8 @@
 from peridottrack.frames import ForwardedRequest, Frame, HedgeHint, InstanceResponse, Refusal
 from peridottrack.gate import AdmissionRequest, Gate, GateState, Verdict
 from peridottrack.headerblock import Header, end_to_end_headers, header_value, pack
-from peridottrack.headernames import HeaderNames, read_load
+from peridottrack.headernames import HeaderNames
+from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.poison import fingerprint
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.types import Clock, Endpoint, InstanceId
@@ -107,6 +108,7 @@
         )
         self._id_name = header_names.request_id.encode()
         self._dropped_headers = frozenset((b"content-length", header_names.load.encode()))
+        self._header_reader = InstanceHeaderReader(header_names)
 
     def start(
         self, frame: ForwardedRequest, reply: Reply, on_hedge_hint: Reply, transit_s: float = 0.0
@@ -237,11 +239,12 @@
 
     def _handle_response(self, pending: _PendingRequest, response: UpstreamResponse) -> bool:
         """Reply with the response or a refusal; return whether its run time is a valid sample."""
-        load_header = header_value(response.headers, self._header_names.load.encode())
-        figures = read_load(load_header.decode("latin-1")) if load_header is not None else None
-        if figures is not None:
-            self.gate.record_load(figures)
+        stated = self._header_reader.read(response.headers)
+        if stated.load is not None:
+            self.gate.record_load(stated.load)
         echoed = header_value(response.headers, self._id_name) is not None
+        if echoed and response.status != MISDIRECTED:
+            self.record_statements(stated, pending.frame.instance)
         if echoed or response.new_connection:
             # Without an echoed request id, only the first response on a connection certainly
             # belongs to this request.
@@ -280,6 +283,11 @@
         pending.reply(frame)
         return response.status < MIN_ERROR_STATUS
 
+    def record_statements(self, stated: InstanceHeaders, instance: InstanceId) -> None:
+        """Record what an instance says of itself in a response, if it is the local one."""
+        if instance == self.gate.local_instance.instance and stated.rate_limit is not None:
+            self.gate.record_rate_limit(stated.rate_limit)
+
     def _refuse(self, pending: _PendingRequest, kind: ErrorKind, ran: Ran, why: str) -> None:
         # The time that this request would take here is the hint when to retry it.
         retry_after_s = (
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -16,7 +16,8 @@
 )
 from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.headerblock import header_value
-from peridottrack.headernames import HeaderNames, LoadFigures, read_load
+from peridottrack.headernames import HeaderNames, LoadFigures
+from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
 from peridottrack.upstream import ConnectionPool
@@ -72,6 +73,8 @@
     ----------
     on_load
         Called with the load report of each response, even of a late one.
+    on_statements
+        Called with all that a response says of its instance, and the instance's id.
     """
 
     def __init__(
@@ -92,9 +95,10 @@
         # Until the first response, probes are awaited for the maximum time.
         self._usual_latency_s = MAX_PROBE_WAIT_S
         self.on_load: Callable[[LoadFigures], None] = lambda figures: None
+        self.on_statements: Callable[[InstanceHeaders, InstanceId], None] = lambda stated, name: None
+        self._header_reader = InstanceHeaderReader(header_names)
         self._id_name = header_names.request_id.encode()
         self._instance_name = header_names.instance_id.encode()
-        self._load_name = header_names.load.encode()
 
     def set_limit(self, per_s: float) -> None:
         """Set the maximum average number of probes per second."""
@@ -145,8 +149,8 @@
         except (NotConnected, BrokeOff, ResponseTooLarge, TimeoutError) as error:
             log.event("probe failed", error=repr(error))
             return None
-        load_header = header_value(response.headers, self._load_name)
-        figures = read_load(load_header.decode("latin-1")) if load_header is not None else None
+        stated = self._header_reader.read(response.headers)
+        figures = stated.load
         if figures is not None:
             if figures.slowdown < SLOWDOWN_THRESHOLD:
                 self._usual_latency_s += LATENCY_WEIGHT * (
@@ -154,9 +158,9 @@
                 )
             self.on_load(figures)
         name = header_value(response.headers, self._instance_name) or b""
-        return Health(
-            response.status == HEALTHY_STATUS, InstanceId(name.decode("latin-1")), figures
-        )
+        instance = InstanceId(name.decode("latin-1"))
+        self.on_statements(stated, instance)
+        return Health(response.status == HEALTHY_STATUS, instance, figures)
 
 
 async def open_from_health(
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -149,6 +149,22 @@
         "The gate closed: no more requests start at the instance.",
         {**_INSTANCE, "running": _GATE["running"], "waiting": _GATE["waiting"]},
     ),
+    "rate limit": Event(
+        "The instance named a rate limit, changed or lifted it; and about every"
+        " `gate.START_WINDOW_S` while it names one.",
+        {
+            **_INSTANCE,
+            "per_s": "requests a second that it takes from all nodes together, null for no limit",
+            "previous_per_s": "the same before this response",
+            "started": "requests started there within the last `gate.START_WINDOW_S`",
+        },
+        LogPolicy.LIMITED,
+    ),
+    "rate limit unreadable": Event(
+        "The rate limit in a response is not a decimal number; the previous one stays in force.",
+        {"value": "the header's value"},
+        LogPolicy.LIMITED,
+    ),
     "instance leaves": Event(
         "The instance announced that it leaves. After the response, no request starts there.",
         {**_INSTANCE, "born": "its start time, as reported by it"},
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -14,6 +14,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -33,6 +35,8 @@
 """Queued requests start only if this share of their usual run time is left: runs vary."""
 MAX_QUEUED_PER_SLOT = 3
 """Maximum number of queued requests per slot; bounds memory."""
+START_WINDOW_S = 4.0
+"""Time over which starts are counted for the log."""
 
 
 class GateState(Enum):
@@ -102,6 +106,7 @@
     state: GateState = GateState.ABSENT
     warm_at: float = 0.0
     concurrency_limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    rate_limit: float = math.inf
 
 
 class Gate:
@@ -122,6 +127,8 @@
         self._urgent_load = UrgentLoad()
         self.local_instance = LocalInstance()
         self._running: set[AdmissionRequest] = set()
+        self._started_at: deque[float] = deque()
+        self._rate_limit_logged_at = 0.0
         self.stopping = False
         self.on_change: Callable[[bool], None] = lambda urgent: None
 
@@ -194,6 +201,26 @@
                 if request.started_at > previous_report_at:
                     request.on_slow_start()
 
+    def record_rate_limit(self, per_s: float) -> None:
+        """Record the rate limit that a response of the instance names, infinite for none."""
+        before, self.local_instance.rate_limit = self.local_instance.rate_limit, per_s
+        now = self._clock.now()
+        logged_s = now - self._rate_limit_logged_at
+        if per_s != before or (math.isfinite(per_s) and logged_s >= START_WINDOW_S):
+            self._rate_limit_logged_at = now
+            log.event(
+                "rate limit",
+                instance=self.local_instance.instance,
+                per_s=_finite(per_s),
+                previous_per_s=_finite(before),
+                started=self._recently_started(now),
+            )
+
+    def _recently_started(self, now: float) -> int:
+        while self._started_at and now - self._started_at[0] > START_WINDOW_S:
+            self._started_at.popleft()
+        return len(self._started_at)
+
     def slowdown(self) -> float:
         """Return the expected slowdown factor of work that starts now."""
         return self.slowdown_estimator.expected(self._clock.now())
@@ -360,7 +387,14 @@
     def _start(self, request: AdmissionRequest) -> None:
         self._running.add(request)
         request.started_at = self._clock.now()
+        self._started_at.append(request.started_at)
+        self._recently_started(request.started_at)
         self._urgent_load.started(request.priority, request.started_at)
         request.running_at_start = self.running
         request.slowdown_at_start = self.slowdown()
         request.on_decision(Verdict.RUN)
+
+
+def _finite(per_s: float) -> float | None:
+    """Return a rate limit for the log, None for no limit."""
+    return per_s if math.isfinite(per_s) else None
--- a/peridottrack/headernames.py
+++ b/peridottrack/headernames.py
@@ -56,6 +56,10 @@
         Id of the instance that responded.
     signature
         Present in a response that the instance itself produced.
+    rate_limit
+        Requests a second that the instance takes from all nodes together, while it names a limit.
+    leaving
+        ``1`` in the responses of an instance that is about to stop.
     """
 
     request_id: str = "peridot-request-id"
@@ -66,3 +70,5 @@
     caller_service: str = "peridot-caller-service"
     instance_id: str = "peridot-instance"
     signature: str = "peridot-signature"
+    rate_limit: str = "peridot-rate-limit"
+    leaving: str = "peridot-leaving"
--- a/peridottrack/platform/adapter.py
+++ b/peridottrack/platform/adapter.py
@@ -25,6 +25,8 @@
     caller_service="caller-service",
     instance_id="instance-id",
     signature="response-signature",
+    rate_limit="server-limit",
+    leaving="server-leaving",
 )
 
 
