--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -240,11 +240,10 @@
     def _handle_response(self, pending: _PendingRequest, response: UpstreamResponse) -> bool:
         """Reply with the response or a refusal; return whether its run time is a valid sample."""
         stated = self._header_reader.read(response.headers)
-        if stated.load is not None:
-            self.gate.record_load(stated.load)
         echoed = header_value(response.headers, self._id_name) is not None
-        if echoed and response.status != MISDIRECTED:
-            self.record_statements(stated, pending.frame.instance)
+        # Other responses may be of another instance, which listens at the address of the first.
+        known = echoed and response.status != MISDIRECTED
+        self.record_statements(stated, pending.frame.instance if known else None)
         if echoed or response.new_connection:
             # Without an echoed request id, only the first response on a connection certainly
             # belongs to this request.
@@ -283,8 +282,10 @@
         pending.reply(frame)
         return response.status < MIN_ERROR_STATUS
 
-    def record_statements(self, stated: InstanceHeaders, instance: InstanceId) -> None:
-        """Record what an instance says of itself in a response, if it is the local one."""
+    def record_statements(self, stated: InstanceHeaders, instance: InstanceId | None) -> None:
+        """Record what a response says of its instance, None if that is not certain."""
+        if stated.load is not None:
+            self.gate.record_load(stated.load)
         if instance == self.gate.local_instance.instance and stated.rate_limit is not None:
             self.gate.record_rate_limit(stated.rate_limit)
 
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -71,10 +71,8 @@
 
     Attributes
     ----------
-    on_load
-        Called with the load report of each response, even of a late one.
-    on_statements
-        Called with all that a response says of its instance, and the instance's id.
+    on_response
+        Called with what each response, even a late one, says of its instance, and with its id.
     """
 
     def __init__(
@@ -94,8 +92,7 @@
         self._path = path
         # Until the first response, probes are awaited for the maximum time.
         self._usual_latency_s = MAX_PROBE_WAIT_S
-        self.on_load: Callable[[LoadFigures], None] = lambda figures: None
-        self.on_statements: Callable[[InstanceHeaders, InstanceId], None] = lambda stated, name: None
+        self.on_response: Callable[[InstanceHeaders, InstanceId], None] = lambda stated, name: None
         self._header_reader = InstanceHeaderReader(header_names)
         self._id_name = header_names.request_id.encode()
         self._instance_name = header_names.instance_id.encode()
@@ -151,15 +148,13 @@
             return None
         stated = self._header_reader.read(response.headers)
         figures = stated.load
-        if figures is not None:
-            if figures.slowdown < SLOWDOWN_THRESHOLD:
-                self._usual_latency_s += LATENCY_WEIGHT * (
-                    self._clock.now() - sent_at - self._usual_latency_s
-                )
-            self.on_load(figures)
+        if figures is not None and figures.slowdown < SLOWDOWN_THRESHOLD:
+            self._usual_latency_s += LATENCY_WEIGHT * (
+                self._clock.now() - sent_at - self._usual_latency_s
+            )
         name = header_value(response.headers, self._instance_name) or b""
         instance = InstanceId(name.decode("latin-1"))
-        self.on_statements(stated, instance)
+        self.on_response(stated, instance)
         return Health(response.status == HEALTHY_STATUS, instance, figures)
 
 
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -321,8 +321,7 @@
         self.prober = Prober(
             self.gate_controller.pool, self._health_path, header_names, settings.probes_per_s, clock
         )
-        self.prober.on_load = self.gate_controller.gate.record_load
-        self.prober.on_statements = self.gate_controller.record_statements
+        self.prober.on_response = self.gate_controller.record_statements
         self.gate_controller.prober = self.prober
         self.members.cluster_views.subscribe(self._update_members)
 
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -55,7 +55,7 @@
 async def prober(pool, clock):
     new_prober = Prober(pool, lambda: "/healthz", HEADER_NAMES, 20.0, clock)
     new_prober.reports = []
-    new_prober.on_load = new_prober.reports.append
+    new_prober.on_response = lambda stated, instance: new_prober.reports.append(stated.load)
     return new_prober
 
 
