--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -210,8 +210,11 @@
         Whether the health check responds 200 instead of 503.
     crash_path
         Target of a request that stops the instance.
-    load, keep_alive
-        Values of the headers Instance-Load and Keep-Alive; empty for none.
+    load, keep_alive, rate_limit
+        Values of the headers Instance-Load, Keep-Alive and Server-Limit, the requests a second that
+        the instance takes from all nodes together; empty for none.
+    leaving
+        Whether all responses have the header Server-Leaving.
     """
 
     lose: int = 0
@@ -237,6 +240,8 @@
     crash_path: bytes = b""
     load: str = "1,0,18,100"
     keep_alive: str = ""
+    rate_limit: str = ""
+    leaving: bool = False
 
 
 @dataclass
@@ -259,6 +264,8 @@
     ----------
     checks_target
         Whether requests for another instance are rejected with 421.
+    received_at
+        When each request arrived, by `time.monotonic`, also those that were rejected or probes.
     aborted_runs
         Number of requests whose connection was closed while they ran.
     connections
@@ -269,6 +276,7 @@
     checks_target: bool = False
     script: Script = field(default_factory=Script)
     runs: list[Run] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)
     aborted_runs: int = 0
     connections: int = 0
     port: int = 0
@@ -320,6 +328,7 @@
 
     async def _work(self, run: Run) -> None:
         script = self._instance.script
+        self._instance.received_at.append(time.monotonic())
 
         def consume(name: str) -> bool:
             left = getattr(script, name)
@@ -439,5 +448,9 @@
             lines.append(b"Instance-Load: %b\r\n" % script.load.encode())
         if script.keep_alive:
             lines.append(b"Keep-Alive: %b\r\n" % script.keep_alive.encode())
+        if script.rate_limit:
+            lines.append(b"Server-Limit: %b\r\n" % script.rate_limit.encode())
+        if script.leaving:
+            lines.append(b"Server-Leaving: 1\r\n")
         lines.append(b"Content-Length: %d\r\n" % len(body) if framed else b"Connection: close\r\n")
         return b"".join([*lines, b"\r\n", body])
