Gate: an instance gets no more requests a second than it names

Seen: an instance that names a limit got 1.8 to 3 times as many requests (55 a second for a limit of 24.6). Callers saw nothing; the instance was not relieved. Cause: a response's headers were read for slots and slowdown alone; admission knew how many requests may run at a time, and no rate. Why this works: all ways to an instance lead through its gate, so one count there covers first sends, resends, hedges, calls of instances, queued requests and all nodes. The limit is a token bucket that starts empty, since what ran before was not counted. It is part of the gate's load report, so that senders go elsewhere or refuse at once, with Retry-After. Beside a limit that is not known yet (a new process) four requests run at a time until the first response. A limited instance is not probed for its load, as a probe is a request; it is probed once in 2 s without a response, or a limit of 0 would never end.

--- a/peridottrack/bucket.py
+++ b/peridottrack/bucket.py
@@ -13,15 +13,26 @@
     rate_per_s
         Tokens added per second.
     burst
-        Most tokens that the bucket holds; it starts full.
+        Most tokens that the bucket holds.
+    tokens
+        Tokens that it holds at first, ``burst`` by default.
     """
 
-    def __init__(self, clock: Clock, rate_per_s: float, burst: float) -> None:
+    def __init__(
+        self, clock: Clock, rate_per_s: float, burst: float, tokens: float | None = None
+    ) -> None:
         self._clock = clock
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self._tokens = burst
-        self._refilled_at: float | None = None
+        self._tokens = burst if tokens is None else tokens
+        self._refilled_at: float | None = None if tokens is None else clock.now()
+
+    def set_rate(self, rate_per_s: float, burst: float) -> None:
+        """Change the rate from now on; tokens beyond the new burst are dropped."""
+        self._refill()
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
 
     def take(self, tokens: float) -> bool:
         """Take all of the tokens if there are enough, or none; return whether they were taken."""
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -26,6 +27,10 @@
 """Remaining time below which a request is not started: a new connection takes about as long."""
 MAX_REFUSED_CONNECTIONS = 2
 """Consecutive refused connections after which the gate is closed until the next status report."""
+MIN_START_DELAY_S = 0.001
+"""Shortest timer: with less, rounding may let it fire before the rate limit admits a request."""
+LIMIT_RECHECK_S = 2.0
+"""Time without a response after which an instance with a rate limit is probed."""
 CRASH_CHECK_S = 0.05
 """Delay after a broken connection before the check whether the instance crashed and is down."""
 MISDIRECTED = 421
@@ -41,6 +46,7 @@
     Verdict.TOO_LATE: ErrorKind.TOO_LATE,
     Verdict.SLOW: ErrorKind.INSTANCE_SLOW,
     Verdict.BUSY: ErrorKind.INSTANCE_BUSY,
+    Verdict.LIMITED: ErrorKind.INSTANCE_LIMITED,
 }
 
 Reply = Callable[[Frame], None]
@@ -96,6 +102,9 @@
 
     def __init__(self, endpoint: Endpoint, header_names: HeaderNames, clock: Clock) -> None:
         self.gate = Gate(clock)
+        self.gate.on_rate_wait = self._start_queued_later
+        self._start_timer: asyncio.TimerHandle | None = None
+        self._stated_at = float("-inf")
         self._clock = clock
         self._header_names = header_names
         self.pool = ConnectionPool(endpoint, clock)
@@ -131,6 +140,26 @@
             pending.admission.on_slow_start = lambda: on_hedge_hint(HedgeHint(frame.number))
         return asyncio.create_task(self._serve(pending))
 
+    def _start_queued_later(self, delay_s: float) -> None:
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+        self._start_timer = asyncio.get_running_loop().call_later(
+            max(delay_s, MIN_START_DELAY_S), self.gate.start_queued
+        )
+
+    async def run(self) -> None:
+        """Ask an instance whether its rate limit still holds, until cancelled.
+
+        Its responses say so, but a low limit may let no request pass for a long time.
+        """
+        while True:
+            await asyncio.sleep(LIMIT_RECHECK_S / 4)
+            silent_s = self._clock.now() - self._stated_at
+            limited = self.gate.is_open and self.gate.local_instance.rate_limit.limited
+            if self.prober is not None and limited and silent_s >= LIMIT_RECHECK_S:
+                self._stated_at = self._clock.now()
+                await self.prober.probe()
+
     def _may_outlast_shutdown(self, pending: _PendingRequest) -> bool:
         """Return whether a run of the usual length would be cut off by the end of the shutdown."""
         if pending.deadline < self.answer_by:
@@ -172,8 +201,10 @@
         slow_run_s = gate.run_s(admission.route) * max(
             gate.slowdown_estimator.last_slow, SLOWDOWN_THRESHOLD
         )
+        # A probe would take a part of the instance's rate limit.
         if (
             self.prober is None
+            or gate.local_instance.rate_limit.limited
             or not gate.slowdown_estimator.is_outdated(now)
             or now + slow_run_s < admission.target_at
         ):
@@ -286,7 +317,10 @@
         """Record what a response says of its instance, None if that is not certain."""
         if stated.load is not None:
             self.gate.record_load(stated.load)
-        if instance == self.gate.local_instance.instance and stated.rate_limit is not None:
+        if instance != self.gate.local_instance.instance:
+            return
+        self._stated_at = self._clock.now()
+        if stated.rate_limit is not None:
             self.gate.record_rate_limit(stated.rate_limit)
 
     def _refuse(self, pending: _PendingRequest, kind: ErrorKind, ran: Ran, why: str) -> None:
@@ -336,6 +370,8 @@
             limit=load.limit,
             slowdown=load.slowdown,
             slowdown_age_s=round(load.slowdown_age_s, 4),
+            rate_limit=load.rate_limit if math.isfinite(load.rate_limit) else None,
+            admissible=round(load.admissible, 2),
         )
 
     def _count_refused_connection(self) -> None:
@@ -346,6 +382,8 @@
 
     def close(self) -> None:
         """Close the idle connections."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
         self.pool.close()
 
 
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -16,7 +16,7 @@
 )
 from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.headerblock import header_value
-from peridottrack.headernames import HeaderNames, LoadFigures
+from peridottrack.headernames import HeaderNames
 from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
@@ -56,7 +56,7 @@
 
     healthy: bool
     instance: InstanceId
-    figures: LoadFigures | None
+    stated: InstanceHeaders
 
 
 class Prober:
@@ -155,7 +155,7 @@
         name = header_value(response.headers, self._instance_name) or b""
         instance = InstanceId(name.decode("latin-1"))
         self.on_response(stated, instance)
-        return Health(response.status == HEALTHY_STATUS, instance, figures)
+        return Health(response.status == HEALTHY_STATUS, instance, stated)
 
 
 async def open_from_health(
@@ -169,13 +169,13 @@
     health = await prober.probe()
     if health is None or local_instance.has_report:
         return
-    if not health.healthy or not health.instance or health.figures is None:
+    if not health.healthy or not health.instance or health.stated.load is None:
         log.event("instance not taken from its health", health=str(health))
         return
     report = InstanceReport(
         health.instance,
         service,
-        health.figures.slots,
+        health.stated.load.slots,
         InstanceState.READY,
         0,
         UNKNOWN_START,
@@ -183,3 +183,5 @@
     )
     if local_instance.apply(report) is ReportResult.APPLIED:
         log.event("instance met by its health", instance=health.instance)
+        # The gate knows the instance only now.
+        prober.on_response(health.stated, health.instance)
--- a/peridottrack/errors.py
+++ b/peridottrack/errors.py
@@ -46,6 +46,7 @@
     TOO_LATE = "too_late"
     INSTANCE_SLOW = "instance_slow"
     INSTANCE_BUSY = "instance_busy"
+    INSTANCE_LIMITED = "instance_limited"
     DEADLINE_PASSED = "deadline_passed"
     NODE_STOPPED = "node_stopped"
     HELD_OFF = "held_off"
@@ -95,6 +96,9 @@
     ErrorKind.TOO_LATE: ResponseRule(503, Ran.NO, "It could not be done before its deadline", 1),
     ErrorKind.INSTANCE_SLOW: ResponseRule(503, Ran.NO, "The instance's host is slow now", 1),
     ErrorKind.INSTANCE_BUSY: ResponseRule(503, Ran.NO, "The instance has no room now", 1),
+    ErrorKind.INSTANCE_LIMITED: ResponseRule(
+        503, Ran.NO, "The instances take fewer requests than arrive", 1
+    ),
     ErrorKind.DEADLINE_PASSED: ResponseRule(504, Ran.UNKNOWN, "The deadline passed while it ran"),
     ErrorKind.NODE_STOPPED: ResponseRule(502, Ran.UNKNOWN, "This node stopped before it ended"),
     ErrorKind.HELD_OFF: ResponseRule(503, Ran.NO, "This request made instances fail", 30),
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -40,6 +40,8 @@
     "limit": "requests that may run at the same time",
     "slowdown": "slowdown factor that the instance reported last",
     "slowdown_age_s": "seconds since that report",
+    "rate_limit": "requests a second that it takes from all nodes together, null for no limit",
+    "admissible": "requests that the rate limit admits now; negative if others wait for it",
 }
 
 _ANSWERED = {
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -245,7 +245,9 @@
         left_s = state.deadline - self._clock.now()
         if choice.wait_s + run_s > left_s:
             # Once the queues are shorter by this much, the request can meet its deadline.
-            state.last_kind = ErrorKind.OVERLOADED
+            state.last_kind = (
+                ErrorKind.INSTANCE_LIMITED if choice.rate_limited else ErrorKind.OVERLOADED
+            )
             state.retry_after_s = max(state.retry_after_s, choice.wait_s + run_s - left_s)
             return None
         return choice
--- a/peridottrack/framecodec.py
+++ b/peridottrack/framecodec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 import zlib
 from collections.abc import Callable, Iterator
@@ -162,6 +163,10 @@
     target.cold = load.cold
     target.meanPercent = min(int(load.mean_slowdown * 100), MAX_UINT16)
     target.spellMs = min(int(load.spell_s * 1000), MAX_UINT16)
+    if math.isfinite(load.rate_limit):
+        target.rateLimited = True
+        target.ratePerSecond = load.rate_limit
+        target.admissible = load.admissible
 
 
 def _decode_load(source: Any) -> GateLoad:
@@ -178,6 +183,8 @@
         source.cold,
         source.meanPercent / 100,
         source.spellMs / 1000,
+        source.ratePerSecond if source.rateLimited else math.inf,
+        source.admissible,
     )
 
 
--- a/peridottrack/frames.capnp
+++ b/peridottrack/frames.capnp
@@ -24,6 +24,9 @@
   cold @9 :Bool;  # started recently, may still be slower than usual
   meanPercent @10 :UInt16;  # mean_slowdown: long-term mean of the slowdown
   spellMs @11 :UInt16;  # usual length of a slow period
+  rateLimited @12 :Bool;  # whether the two fields below hold a limit
+  ratePerSecond @13 :Float64;  # rate_limit: requests that the instance takes from all nodes
+  admissible @14 :Float64;  # requests that the rate limit admits now
 }
 
 struct Frame {
--- a/peridottrack/frames.py
+++ b/peridottrack/frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from peridottrack.errors import ErrorKind, Ran
@@ -27,6 +28,10 @@
         Whether the instance started recently and may still be slower than usual.
     mean_slowdown, spell_s
         Long-term mean of the slowdown, and the usual length of a slow period in seconds.
+    rate_limit
+        Requests a second that the instance takes from all nodes together, infinite for no limit.
+    admissible
+        Requests that the rate limit admits now; negative if others wait for it.
     """
 
     instance: InstanceId
@@ -41,6 +46,8 @@
     cold: bool = False
     mean_slowdown: float = 1.0
     spell_s: float = DEFAULT_SLOW_PERIOD_S
+    rate_limit: float = math.inf
+    admissible: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -10,6 +10,9 @@
 
 In a burst beyond the instance's capacity, requests that can still meet their target go first among
 those of the same priority, so that some requests are late instead of all.
+
+All requests of all nodes to an instance start here, so a rate limit that it names is enforced by
+one count, and requests beyond it are queued, declined or refused like those beyond its slots.
 """
 
 from __future__ import annotations
@@ -24,6 +27,7 @@
 from peridottrack.concurrencylimit import ConcurrencyLimit
 from peridottrack.frames import GateLoad
 from peridottrack.headernames import LoadFigures
+from peridottrack.ratelimit import RateLimit
 from peridottrack.runtimes import RunTime
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD, SlowdownEstimator
 from peridottrack.types import Clock, InstanceId, ServiceName
@@ -37,6 +41,8 @@
 """Maximum number of queued requests per slot; bounds memory."""
 START_WINDOW_S = 4.0
 """Time over which starts are counted for the log."""
+MAX_FIRST_RUNS = 4
+"""Concurrent runs before the first response of an instance, which may name a rate limit."""
 
 
 class GateState(Enum):
@@ -57,6 +63,7 @@
     WRONG_INSTANCE = "wrong_instance"
     SLOW = "slow"
     BUSY = "busy"
+    LIMITED = "limited"
 
 
 @dataclass(slots=True, eq=False)
@@ -98,15 +105,22 @@
 
 @dataclass(slots=True)
 class LocalInstance:
-    """State of the local instance as the gate knows it."""
+    """State of the local instance as the gate knows it.
+
+    Parameters
+    ----------
+    has_responded
+        Whether a response of it was received, so that its rate limit is known.
+    """
 
+    rate_limit: RateLimit
     instance: InstanceId = InstanceId("")
     service: ServiceName = ServiceName("")
     slots: int = 0
     state: GateState = GateState.ABSENT
     warm_at: float = 0.0
     concurrency_limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
-    rate_limit: float = math.inf
+    has_responded: bool = False
 
 
 class Gate:
@@ -116,6 +130,9 @@
     ----------
     on_change
         Called when the load report for other nodes changed; True if it must be sent at once.
+    on_rate_wait
+        Called with the seconds after which `start_queued` must be called, since requests wait for
+        the rate limit.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -125,12 +142,13 @@
         self._overall_run_time = RunTime()
         self.slowdown_estimator = SlowdownEstimator()
         self._urgent_load = UrgentLoad()
-        self.local_instance = LocalInstance()
+        self.local_instance = LocalInstance(RateLimit(clock))
         self._running: set[AdmissionRequest] = set()
         self._started_at: deque[float] = deque()
         self._rate_limit_logged_at = 0.0
         self.stopping = False
         self.on_change: Callable[[bool], None] = lambda urgent: None
+        self.on_rate_wait: Callable[[float], None] = lambda delay_s: None
 
     # -- the instance ------------------------------------------------------------------
 
@@ -140,7 +158,7 @@
         """Accept requests for a ready instance; a new id discards the state of the previous one."""
         if instance != self.local_instance.instance:
             self.close(Verdict.WRONG_INSTANCE)
-            self.local_instance = LocalInstance(instance, service)
+            self.local_instance = LocalInstance(RateLimit(self._clock), instance, service)
         local = self.local_instance
         before = (local.state, local.slots)
         local.slots = slots
@@ -203,7 +221,9 @@
 
     def record_rate_limit(self, per_s: float) -> None:
         """Record the rate limit that a response of the instance names, infinite for none."""
-        before, self.local_instance.rate_limit = self.local_instance.rate_limit, per_s
+        rate_limit = self.local_instance.rate_limit
+        before = rate_limit.per_s
+        rate_limit.set(per_s)
         now = self._clock.now()
         logged_s = now - self._rate_limit_logged_at
         if per_s != before or (math.isfinite(per_s) and logged_s >= START_WINDOW_S):
@@ -215,6 +235,11 @@
                 previous_per_s=_finite(before),
                 started=self._recently_started(now),
             )
+        if per_s != before:
+            self.on_change(True)
+        if per_s != before or not self.local_instance.has_responded:
+            self.local_instance.has_responded = True
+            self.start_queued()
 
     def _recently_started(self, now: float) -> int:
         while self._started_at and now - self._started_at[0] > START_WINDOW_S:
@@ -242,6 +267,8 @@
             now < local.warm_at,
             self.slowdown_estimator.mean,
             self.slowdown_estimator.slow_period_s,
+            local.rate_limit.per_s,
+            local.rate_limit.available() - self.waiting if local.rate_limit.limited else 0.0,
         )
 
     # -- requests ----------------------------------------------------------------------
@@ -260,12 +287,15 @@
         refusal = self._refusal(request, instance, host_unresponsive)
         if refusal is not None:
             request.on_decision(refusal)
-        elif self._has_slot(request):
+        elif self._may_start(request):
             self._start(request)
         else:
             request.queued = True
             self._queue.append(request)
-            self.local_instance.concurrency_limit.record_queued(request.arrived_at)
+            if self._has_slot(request):
+                self._schedule_start()
+            else:
+                self.local_instance.concurrency_limit.record_queued(request.arrived_at)
 
     def _refusal(
         self, request: AdmissionRequest, instance: InstanceId, host_unresponsive: bool
@@ -277,19 +307,30 @@
         slow = host_unresponsive or self.slowdown_estimator.is_slow(request.arrived_at)
         if request.decline_if_slow and slow:
             return Verdict.SLOW
-        if self._has_slot(request):
+        if self._may_start(request):
             return None
         if request.decline_if_full:
             return Verdict.BUSY
         if self.waiting >= MAX_QUEUED_PER_SLOT * self.local_instance.slots:
             return Verdict.FULL
         expected_at = request.arrived_at + self.forecast_s(request)
-        if expected_at > request.deadline:
-            return Verdict.TOO_LATE
-        if expected_at > request.target_at and self._count_late() >= self.limit:
-            return Verdict.TOO_LATE
+        misses_target = expected_at > request.target_at
+        if expected_at > request.deadline or (
+            misses_target and self._count_late() >= self._usable_concurrency()
+        ):
+            return Verdict.LIMITED if self._has_slot(request) else Verdict.TOO_LATE
         return None
 
+    def _may_start(self, request: AdmissionRequest) -> bool:
+        return self._has_slot(request) and self.local_instance.rate_limit.available() >= 1.0
+
+    def _usable_concurrency(self) -> float:
+        """Return the number of runs that the slots and the rate limit keep in progress."""
+        per_s = self.local_instance.rate_limit.per_s
+        # Little's law; an unlimited rate gives an infinite number.
+        by_rate = max(1.0, per_s * self._overall_run_time.mean_s)
+        return min(float(self.limit), by_rate)
+
     def _has_slot(self, request: AdmissionRequest) -> bool:
         """Return whether a request may start now.
 
@@ -298,6 +339,8 @@
         """
         if self.running >= self.limit:
             return False
+        if not self.local_instance.has_responded and self.running >= MAX_FIRST_RUNS:
+            return False
         if request.priority <= self._urgent_load.max_urgent_priority:
             return True
         reserved = min(self._urgent_load.mean(self._clock.now()) * URGENT_HEADROOM, self.limit / 2)
@@ -323,6 +366,7 @@
         ahead = sum(self._queue_key(other, now) <= own_key for other in self._queue)
         slowdown = self.slowdown()
         wait_s = (ahead + 1) * self._overall_run_time.mean_s * slowdown / max(self.limit, 1)
+        wait_s = max(wait_s, self.local_instance.rate_limit.wait_s(ahead))
         return wait_s + self.run_s(request.route) * slowdown
 
     def run_s(self, route: str) -> float:
@@ -349,8 +393,9 @@
         self._running.remove(request)
         self._urgent_load.ended(request.priority, self._clock.now())
         if ran:
+            self.local_instance.has_responded = True
             self._record_run(request)
-        self._start_queued()
+        self.start_queued()
 
     def _record_run(self, request: AdmissionRequest) -> None:
         seconds = self.normalized_run_s(request)
@@ -368,11 +413,14 @@
         """Return the run time so far, divided by the slowdown expected at its start if above 1."""
         return (self._clock.now() - request.started_at) / max(request.slowdown_at_start, 1.0)
 
-    def _start_queued(self) -> None:
+    def start_queued(self) -> None:
+        """Start the queued requests that the slots and the rate limit allow now."""
         now = self._clock.now()
         while self._queue and self.running < self.limit:
             request = min(self._queue, key=lambda queued: self._queue_key(queued, now))
-            if not self._has_slot(request):
+            if not self._may_start(request):
+                if self._has_slot(request):
+                    self._schedule_start()
                 return
             self._queue.remove(request)
             request.queued = False
@@ -384,7 +432,12 @@
             else:
                 self._start(request)
 
+    def _schedule_start(self) -> None:
+        """Request a call of `start_queued` for when the rate limit admits a request."""
+        self.on_rate_wait(self.local_instance.rate_limit.wait_s(0))
+
     def _start(self, request: AdmissionRequest) -> None:
+        self.local_instance.rate_limit.take()
         self._running.add(request)
         request.started_at = self._clock.now()
         self._started_at.append(request.started_at)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -167,6 +167,7 @@
         self._spawn(self._flush_log())
         self._spawn(self._join())
         self._spawn(self.document_follower.run())
+        self._spawn(self.gate_controller.run())
         log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
 
     def apply_settings(self, settings: MeshSettings) -> None:
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 from peridottrack.frames import GateLoad
 from peridottrack.gateroute import GateRoute
+from peridottrack.ratelimit import burst_of, token_wait_s
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD, expected_slowdown
 from peridottrack.types import Clock, FailureDomain, InstanceId, Random
 
@@ -56,6 +58,8 @@
     ----------
     wait_s, run_s
         Expected seconds before and during the run.
+    rate_limited
+        Whether the wait is due to the instance's rate limit rather than to its slots.
     healthy_elsewhere
         Whether another gate's last report, of whatever age, does not show a slow host.
     capacity_elsewhere
@@ -66,6 +70,7 @@
     load: GateLoad
     wait_s: float
     run_s: float
+    rate_limited: bool = False
     healthy_elsewhere: bool = False
     capacity_elsewhere: bool = False
 
@@ -148,8 +153,15 @@
         occupied = load.running + load.waiting + route.sent_since_report()
         limit = max(load.limit, 1)
         crowding = CROWDING_SHARE * min(1.0, occupied / limit) ** 2
-        wait_s = max(0, occupied + 1 - limit) * run_s * slowdown / limit
-        return Choice(route, load, wait_s, run_s * slowdown * (1.0 + crowding))
+        slot_wait_s = max(0, occupied + 1 - limit) * run_s * slowdown / limit
+        rate_wait_s = _rate_wait_s(route, load, now)
+        return Choice(
+            route,
+            load,
+            max(slot_wait_s, rate_wait_s),
+            run_s * slowdown * (1.0 + crowding),
+            rate_wait_s > slot_wait_s,
+        )
 
     def _cost(self, choice: Choice, target_s: float, now: float) -> float:
         cost = choice.wait_s + choice.run_s
@@ -161,5 +173,14 @@
         return cost * (1.0 + COST_JITTER * self._rng.random())
 
 
+def _rate_wait_s(route: GateRoute, load: GateLoad, now: float) -> float:
+    """Return the seconds until the instance's rate limit admits a request sent now."""
+    if not math.isfinite(load.rate_limit):
+        return 0.0
+    admitted_since = max(0.0, now - route.received_at) * load.rate_limit
+    admissible = min(burst_of(load.rate_limit), load.admissible + admitted_since)
+    return token_wait_s(admissible - route.sent_since_report(), load.rate_limit)
+
+
 def _has_capacity(choice: Choice) -> bool:
     return choice.load.slowdown < SLOWDOWN_THRESHOLD and choice.wait_s <= 0
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -10,6 +12,7 @@
 from peridottrack.clock import ManualClock
 from peridottrack.gate import AdmissionRequest, Gate, Verdict
 from peridottrack.headernames import LoadFigures, read_load
+from peridottrack.ratelimit import burst_of
 
 
 @pytest.fixture
@@ -170,6 +173,50 @@
     assert log == [Verdict.SLOW, Verdict.RUN]
 
 
+def test_requests_beyond_the_rate_limit_wait_for_it(gate, clock):
+    log, delays = [], []
+    gate.on_rate_wait = delays.append
+    gate.record_rate_limit(2.0)
+    for _ in range(2):
+        gate.submit(make_request(log), "i-1")
+    assert (log, gate.waiting, delays[0]) == ([], 2, 0.5)
+    clock.advance(0.5)
+    gate.start_queued()
+    assert (log, gate.waiting) == ([Verdict.RUN], 1)
+    gate.record_rate_limit(math.inf)
+    assert log == [Verdict.RUN, Verdict.RUN]
+
+
+def test_requests_that_the_rate_limit_admits_too_late_are_refused_at_once(gate, clock):
+    log = []
+    gate.record_rate_limit(2.0)
+    now = clock.now()
+    gate.submit(make_request(log, target_at=now + 0.2, deadline=now + 0.3), "i-1")
+    assert log == [Verdict.LIMITED]
+    declinable = make_request(log)
+    declinable.decline_if_full = True
+    gate.submit(declinable, "i-1")
+    assert log[1:] == [Verdict.BUSY]
+
+
+def test_rate_limit_of_an_instance_does_not_hold_for_the_next(gate):
+    log = []
+    gate.record_rate_limit(0.0)
+    gate.open("i-2", "katalog", 3, 0.0)
+    gate.submit(make_request(log), "i-2")
+    assert log == [Verdict.RUN]
+
+
+def test_instance_gets_few_requests_before_its_first_response(clock):
+    gate, log = Gate(clock), []
+    gate.open("i-1", "katalog", 18, 0.0)
+    for _ in range(10):
+        gate.submit(make_request(log), "i-1")
+    assert len(log) == 4
+    gate.record_rate_limit(math.inf)
+    assert log == [Verdict.RUN] * 10
+
+
 def test_urgent_calls_find_a_slot_among_long_runs(clock):
     """Long runs of low priority fill an instance while short urgent calls keep arriving."""
     gate = Gate(clock)
@@ -225,10 +272,13 @@
         self.submitted = []
         self.verdicts = {}
         self.running = []
+        self.limited_at = 0.0
+        self.started_since_limited = 0
         self.open_again()
 
     def open_again(self):
         self.incarnation += 1
+        self.limited_at, self.started_since_limited = self.clock.now(), 0
         self.gate.open(f"i-{self.incarnation}", "katalog", 3, 0.0)
 
     @rule(priority=st.integers(0, 3), left_s=st.floats(0.001, 3), stale=st.booleans())
@@ -241,6 +291,7 @@
             if verdict is Verdict.RUN:
                 assert self.gate.is_open
                 self.running.append(request)
+                self.started_since_limited += 1
 
         now = self.clock.now()
         request = AdmissionRequest("read", priority, now + left_s / 2, now + left_s, on_decision)
@@ -273,6 +324,20 @@
     @rule(seconds=st.floats(0.0, 1.0))
     def wait(self, seconds):
         self.clock.advance(seconds)
+        self.gate.start_queued()
+
+    @rule(per_s=st.sampled_from((math.inf, 0.0, 0.3, 2.0, 20.0)))
+    def name_a_rate_limit(self, per_s):
+        if per_s != self.gate.local_instance.rate_limit.per_s:
+            self.limited_at, self.started_since_limited = self.clock.now(), 0
+        self.gate.record_rate_limit(per_s)
+
+    @invariant()
+    def starts_stay_within_the_rate_limit(self):
+        per_s = self.gate.local_instance.rate_limit.per_s
+        if math.isfinite(per_s):
+            elapsed_s = self.clock.now() - self.limited_at
+            assert self.started_since_limited <= per_s * elapsed_s + burst_of(per_s) + 1e-6
 
     @invariant()
     def counts_are_exact(self):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -51,6 +51,27 @@
     return choice.load.instance if choice else None
 
 
+def test_rate_limited_instance_gets_what_it_admits_and_the_rest_goes_elsewhere(placement, clock):
+    limited = Route(gate("limited", rate_limit=10.0, admissible=1.0))
+    routes = [limited, Route(gate("free", running=5), domain="b")]
+    assert chosen(placement, routes) == "limited"
+    limited.unreported = 1
+    assert chosen(placement, routes) == "free"
+    clock.advance(0.1)
+    assert chosen(placement, routes) == "limited"
+
+
+def test_wait_for_a_rate_limit_counts_the_requests_that_wait_already(placement):
+    choice = placement.choose([Route(gate("i", rate_limit=2.0, admissible=-3.0))], RUN_S, TARGET_S)
+    assert (choice.wait_s, choice.rate_limited) == (2.0, True)
+
+
+def test_instance_that_takes_no_requests_is_the_last_choice(placement):
+    closed = Route(gate("closed", rate_limit=0.0))
+    assert chosen(placement, [closed, Route(gate("full", waiting=30), domain="b")]) == "full"
+    assert chosen(placement, [closed]) == "closed"
+
+
 def test_slow_host_is_avoided_while_the_report_is_recent(placement, clock):
     routes = [Route(gate("slow", slowdown=5.0)), Route(gate("healthy", running=5), domain="b")]
     assert chosen(placement, routes) == "healthy"
