Gate: an instance that says in a response that it leaves gets no more requests

Seen: every further request ran at the leaving instance until its own report arrived; a report that it was ready, sent before and delivered after, changed nothing either. Cause: the same as that of the rate limit, statements of an instance in its responses beside the load were not read. Why this works: the gate closes as it does for a deregistration, for this incarnation, so delayed reports do not open it; the response that says so is passed on after that. A probe that says so does not open the gate of a node that has just started.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -95,6 +95,8 @@
         Probes the instance; None to rely on the load reports in its responses alone.
     on_crash
         Called with the fingerprint of a request that ran when the instance crashed.
+    on_leaving
+        Called with the id of the local instance when it says that it leaves.
     answer_by
         Latest deadline, by the node's clock, of requests that arrive while this node shuts down;
         infinite before.
@@ -115,6 +117,7 @@
         self.on_crash: Callable[[str, InstanceId], object] = (
             lambda request_fingerprint, instance: None
         )
+        self.on_leaving: Callable[[InstanceId], None] = lambda instance: None
         self._id_name = header_names.request_id.encode()
         self._dropped_headers = frozenset((b"content-length", header_names.load.encode()))
         self._header_reader = InstanceHeaderReader(header_names)
@@ -317,8 +320,10 @@
         """Record what a response says of its instance, None if that is not certain."""
         if stated.load is not None:
             self.gate.record_load(stated.load)
-        if instance != self.gate.local_instance.instance:
+        if instance is None or instance != self.gate.local_instance.instance:
             return
+        if stated.leaving and self.gate.local_instance.state is GateState.OPEN:
+            self.on_leaving(instance)
         self._stated_at = self._clock.now()
         if stated.rate_limit is not None:
             self.gate.record_rate_limit(stated.rate_limit)
--- a/peridottrack/controllers/localinstance.py
+++ b/peridottrack/controllers/localinstance.py
@@ -103,14 +103,14 @@
             start_time == UNKNOWN_START and report.sequence > MAX_FIRST_SEQUENCE
         )
 
-    def deregister(self, instance: InstanceId) -> None:
-        """Close the gate because an instance has deregistered."""
+    def record_leaving(self, instance: InstanceId) -> None:
+        """Close the gate: an instance has deregistered, or says in a response that it leaves."""
         last = self._last
         if last is None or last.instance == instance:
             self._record_leave(instance, last.start_time if last is not None else 0)
 
     def _record_leave(self, instance: InstanceId, start_time: int) -> None:
-        """Close the gate after a draining report or a deregistration."""
+        """Close the gate; earlier reports of this incarnation no longer open it."""
         if self._start_time_by_left_instance.get(instance) != start_time:
             log.event("instance leaves", instance=instance, born=start_time)
         self._start_time_by_left_instance = {instance: start_time}
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -169,7 +169,8 @@
     health = await prober.probe()
     if health is None or local_instance.has_report:
         return
-    if not health.healthy or not health.instance or health.stated.load is None:
+    usable = health.healthy and not health.stated.leaving
+    if not usable or not health.instance or health.stated.load is None:
         log.event("instance not taken from its health", health=str(health))
         return
     report = InstanceReport(
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -168,14 +168,15 @@
         LogPolicy.LIMITED,
     ),
     "instance leaves": Event(
-        "The instance announced that it leaves. After the response, no request starts there.",
+        "The instance announced that it leaves, or said so in a response. From then on no request"
+        " starts there.",
         {**_INSTANCE, "born": "its start time, as reported by it"},
     ),
     "instance met by its health": Event(
         "The gate opened by a health probe, before the instance announced itself.", _INSTANCE
     ),
     "instance not taken from its health": Event(
-        "A health probe did not open the gate: unhealthy, or no id or no load in the response.",
+        "A health probe did not open the gate: unhealthy or leaving, or no id or no load in the response.",
         {"health": "the response"},
     ),
     "probe failed": Event("The instance did not answer a probe.", {"error": "the error"}),
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -276,6 +276,7 @@
         self.local_instance = LocalInstanceController(
             self.gate_controller.gate, ServiceName(settings.service), clock
         )
+        self.gate_controller.on_leaving = self.local_instance.record_leaving
         self.members = MembersController(
             local_member,
             self._adapter.directory(self.store_session, settings, self._count_store_call),
--- a/peridottrack/platform/announce.py
+++ b/peridottrack/platform/announce.py
@@ -73,7 +73,7 @@
         return web.json_response({}, status=STATUS_BY_RESULT[local_instance.apply(report)])
 
     async def deregister(request: web.Request) -> web.Response:
-        local_instance.deregister(InstanceId(request.match_info["id"]))
+        local_instance.record_leaving(InstanceId(request.match_info["id"]))
         return web.json_response({})
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
