--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -176,7 +176,8 @@
         "The gate opened by a health probe, before the instance announced itself.", _INSTANCE
     ),
     "instance not taken from its health": Event(
-        "A health probe did not open the gate: unhealthy or leaving, or no id or no load in the response.",
+        "A health probe did not open the gate: unhealthy or leaving, or no id or no load in the"
+        " response.",
         {"health": "the response"},
     ),
     "probe failed": Event("The instance did not answer a probe.", {"error": "the error"}),
