Known red: a node sends again to an instance that it knows to leave

The instance's node is restarted and opened by a report that was sent before the instance left. The node that passed on the leaving sends there again: the test gets 200 where 503 'not run' is expected.

--- a/tests/test_leaving_header.py
+++ b/tests/test_leaving_header.py
@@ -6,6 +6,9 @@
 from mesh_world import World
 from test_mesh import open_only, routes, wait_until
 
+from peridottrack.mesh import MeshNode
+from peridottrack.platform import ADAPTER
+
 
 @pytest.fixture
 async def world():
@@ -41,3 +44,28 @@
     assert await leaving.announce(world.session, "ready", born=2_000) == 200
     await wait_until(lambda: sum(route.load.open for route in routes(caller)) == 1)
     assert (await world.call(caller))[0] == 200
+
+
+# Guards against requests from a node that passed on that an instance leaves, once the instance's
+# node has restarted and knows no more of it.
+async def test_node_that_knows_of_the_leaving_sends_nothing_after_a_restart_of_the_gate(world):
+    caller, leaving = world.hosts
+    open_only(world, 1)
+    await wait_until(lambda: sum(route.load.open for route in routes(caller)) == 1)
+    await leaving.announce(world.session, "ready", born=1_000)
+    leaving.instance.script.leaving = True
+    assert (await world.call(caller))[0] == 200
+    await leaving.node.close()
+    leaving.node = MeshNode(leaving.node.settings, ADAPTER)
+    await leaving.node.start()
+    # Sent before the instance left, delivered after that.
+    assert await leaving.announce(world.session, "ready", born=1_000) == 200
+    await wait_until(lambda: any(r.usable and r.load.open for r in routes(caller)))
+    status, _, headers = await world.call(caller)
+    assert (status, headers["Peridot-Ran"]) == (503, "no")
+    assert len(leaving.instance.runs) == 1
+    # The instance starts again under its id.
+    leaving.instance.script.leaving = False
+    assert await leaving.announce(world.session, "ready", born=2_000, sequence=1) == 200
+    await wait_until(lambda: routes(caller)[-1].load.start_time == 2_000)
+    assert (await world.call(caller))[0] == 200
