Nodes remember which instances leave, so that a restarted gate cannot undo it

Seen: a node that passed on that an instance leaves sent to it again after the instance's node had restarted and a delayed report had opened its gate. Cause: only the gate knew of the leaving, and a process keeps nothing. The class is that of a fact which binds the sender and is held by the receiver alone. Why this works: load reports say whether the instance leaves and which incarnation it is (its start time); senders leave out that incarnation and earlier ones, of which a restarted gate may know no start time, for two minutes. A later start of the same id is used again.

--- a/peridottrack/controllers/localinstance.py
+++ b/peridottrack/controllers/localinstance.py
@@ -86,7 +86,11 @@
             self._record_leave(report.instance, report.start_time)
         else:
             self._gate.open(
-                report.instance, report.service, report.slots, max(0.0, report.warm_in_s)
+                report.instance,
+                report.service,
+                report.slots,
+                max(0.0, report.warm_in_s),
+                report.start_time,
             )
         return ReportResult.APPLIED
 
@@ -114,7 +118,7 @@
         if self._start_time_by_left_instance.get(instance) != start_time:
             log.event("instance leaves", instance=instance, born=start_time)
         self._start_time_by_left_instance = {instance: start_time}
-        self._gate.close()
+        self._gate.leave()
 
 
 def _is_older(report: InstanceReport, last: InstanceReport) -> bool:
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -352,6 +352,7 @@
     def _handle_outcome(
         self, state: ForwardState, instance: InstanceId, outcome: Outcome
     ) -> BufferedResponse | None:
+        self._placement.record_load(outcome.load)
         if isinstance(outcome, Refusal):
             self._handle_refusal(state, instance, outcome)
             return None
--- a/peridottrack/framecodec.py
+++ b/peridottrack/framecodec.py
@@ -167,6 +167,8 @@
         target.rateLimited = True
         target.ratePerSecond = load.rate_limit
         target.admissible = load.admissible
+    target.startTime = max(load.start_time, 0)
+    target.leaving = load.leaving
 
 
 def _decode_load(source: Any) -> GateLoad:
@@ -185,6 +187,8 @@
         source.spellMs / 1000,
         source.ratePerSecond if source.rateLimited else math.inf,
         source.admissible,
+        source.startTime,
+        source.leaving,
     )
 
 
--- a/peridottrack/frames.capnp
+++ b/peridottrack/frames.capnp
@@ -27,6 +27,8 @@
   rateLimited @12 :Bool;  # whether the two fields below hold a limit
   ratePerSecond @13 :Float64;  # rate_limit: requests that the instance takes from all nodes
   admissible @14 :Float64;  # requests that the rate limit admits now
+  startTime @15 :UInt64;  # of the instance, as it reported it; 0 if unknown
+  leaving @16 :Bool;  # whether the instance has announced that it leaves
 }
 
 struct Frame {
--- a/peridottrack/frames.py
+++ b/peridottrack/frames.py
@@ -32,6 +32,10 @@
         Requests a second that the instance takes from all nodes together, infinite for no limit.
     admissible
         Requests that the rate limit admits now; negative if others wait for it.
+    start_time
+        When the instance started by its own report, 0 if unknown; a later start has a higher one.
+    leaving
+        Whether the instance has announced that it leaves.
     """
 
     instance: InstanceId
@@ -48,6 +52,8 @@
     spell_s: float = DEFAULT_SLOW_PERIOD_S
     rate_limit: float = math.inf
     admissible: float = 0.0
+    start_time: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -111,6 +111,10 @@
     ----------
     has_responded
         Whether a response of it was received, so that its rate limit is known.
+    start_time
+        When it started by its own report, 0 if unknown; tells apart incarnations with the same id.
+    leaving
+        Whether it has announced that it leaves.
     """
 
     rate_limit: RateLimit
@@ -121,6 +125,8 @@
     warm_at: float = 0.0
     concurrency_limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     has_responded: bool = False
+    start_time: int = 0
+    leaving: bool = False
 
 
 class Gate:
@@ -153,21 +159,33 @@
     # -- the instance ------------------------------------------------------------------
 
     def open(
-        self, instance: InstanceId, service: ServiceName, slots: int, warm_in_s: float
+        self,
+        instance: InstanceId,
+        service: ServiceName,
+        slots: int,
+        warm_in_s: float,
+        start_time: int = 0,
     ) -> None:
         """Accept requests for a ready instance; a new id discards the state of the previous one."""
         if instance != self.local_instance.instance:
             self.close(Verdict.WRONG_INSTANCE)
             self.local_instance = LocalInstance(RateLimit(self._clock), instance, service)
         local = self.local_instance
-        before = (local.state, local.slots)
+        before = (local.state, local.slots, local.start_time)
         local.slots = slots
+        local.start_time = start_time
+        local.leaving = False
         local.state = GateState.OPEN
         local.warm_at = self._clock.now() + warm_in_s
-        if before != (local.state, local.slots):
+        if before != (local.state, local.slots, local.start_time):
             log.event("gate open", instance=instance, slots=slots, warm_in_s=warm_in_s)
             self.on_change(True)
 
+    def leave(self) -> None:
+        """Close the gate because the instance has announced that it leaves."""
+        self.local_instance.leaving = True
+        self.close()
+
     def close(self, verdict: Verdict = Verdict.CLOSED) -> None:
         """Stop starting requests on the instance and refuse the queued ones with ``verdict``."""
         if self.local_instance.state is GateState.OPEN:
@@ -269,6 +287,8 @@
             self.slowdown_estimator.slow_period_s,
             local.rate_limit.per_s,
             local.rate_limit.available() - self.waiting if local.rate_limit.limited else 0.0,
+            local.start_time,
+            local.leaving,
         )
 
     # -- requests ----------------------------------------------------------------------
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -29,6 +29,8 @@
 """Half-life of the failure rate, so that a recovered instance is tried again."""
 NEGLIGIBLE_RATE = 0.001
 """Failure rate below which it no longer affects the choice and is dropped."""
+LEAVING_MEMORY_S = 120.0
+"""Seconds for which an instance that leaves is remembered: longer than it goes on serving."""
 COST_JITTER = 0.04
 """Maximum random increase of a cost, so that nodes do not all choose the same instance."""
 
@@ -50,6 +52,14 @@
         self.updated_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class _LeavingInstance:
+    """What is remembered of an instance that leaves, in case its gate restarts and forgets it."""
+
+    start_time: int
+    known_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A gate with its expected waiting and run time.
@@ -89,6 +99,7 @@
         self._clock = clock
         self._rng = rng
         self._failure_rate_by_instance: dict[InstanceId, FailureRate] = {}
+        self._leaving_by_instance: dict[InstanceId, _LeavingInstance] = {}
 
     def choose(
         self,
@@ -112,7 +123,9 @@
         healthy = with_capacity = 0
         for route in routes:
             load = route.load
-            if load is None or not load.open or load.instance in exclude or not route.usable:
+            if load is None or load.instance in exclude or self._is_leaving(load, now):
+                continue
+            if not load.open or not route.usable:
                 continue
             choice = self._estimate(route, load, run_s, now)
             healthy += load.slowdown < SLOWDOWN_THRESHOLD
@@ -128,6 +141,25 @@
             capacity_elsewhere=with_capacity > _has_capacity(best),
         )
 
+    def record_load(self, load: GateLoad) -> None:
+        """Record from a load report that an instance leaves."""
+        if load.leaving:
+            self._is_leaving(load, self._clock.now())
+
+    def _is_leaving(self, load: GateLoad, now: float) -> bool:
+        """Return whether this incarnation of the instance is known to leave."""
+        known = self._leaving_by_instance.get(load.instance)
+        if load.leaving and (known is None or known.start_time < load.start_time):
+            self._forget_left(now)
+            self._leaving_by_instance[load.instance] = _LeavingInstance(load.start_time, now)
+            return True
+        return known is not None and load.start_time <= known.start_time
+
+    def _forget_left(self, now: float) -> None:
+        for instance, known in list(self._leaving_by_instance.items()):
+            if now - known.known_at > LEAVING_MEMORY_S:
+                del self._leaving_by_instance[instance]
+
     def record_outcome(self, instance: InstanceId, failed: bool) -> None:
         """Record the outcome of a request at an instance."""
         now = self._clock.now()
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -37,7 +37,7 @@
     ForwardedRequest(
         1, 1.5, 12.25, 0.25, "r-1", 2, True, False, "GET", b"/a?b", b"Host: x\r\n", b"\x00", "i-1"
     ),
-    replace(LOAD, rate_limit=24.6, admissible=-1.5),
+    replace(LOAD, rate_limit=24.6, admissible=-1.5, start_time=1_778_067_241_666, leaving=True),
     Cancel(2),
     InstanceResponse(3, 200, b"A: b\r\n", b"body", LOAD),
     Refusal(4, ErrorKind.TOO_LATE, Ran.NO, 0.25, LOAD),
