--- a/peridottrack/standin/upstream.py
+++ b/peridottrack/standin/upstream.py
@@ -15,9 +15,12 @@
 
 from peridottrack.call import DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER
 from peridottrack.errors import RAN_HEADER, Ran
+from peridottrack.headernames import HeaderNames
+from peridottrack.instanceheaders import LEAVING_VALUE
 from peridottrack.types import Endpoint, InstanceId, ServiceName
 
 ANNOUNCE_INTERVAL_S = 1.0
+NAMES = HeaderNames()
 QUEUE_PER_SLOT = 2
 """Requests that may wait for each slot before the upstream sheds."""
 MISSING_BYTES = 100
@@ -64,12 +67,18 @@
         Factor on the service time under `UpstreamFault.STRAGGLE`.
     reported_running
         Number of running requests to announce instead of the true one.
+    rate_limit
+        Requests a second from all nodes together that its responses name, None for no limit.
+    leaving
+        Whether its responses say that it leaves.
     """
 
     service_s: float = 0.01
     fault: UpstreamFault = UpstreamFault.NONE
     straggle_factor: float = 20.0
     reported_running: int | None = None
+    rate_limit: float | None = None
+    leaving: bool = False
 
 
 @dataclass
@@ -95,6 +104,8 @@
     ----------
     received_requests
         Number of requests received, also those that were rejected.
+    received_at
+        When each of them was received, by the loop's clock.
     """
 
     def __init__(
@@ -122,6 +133,7 @@
         self._runner: web.ServerRunner | None = None
         self._announce_url = ""
         self.received_requests = 0
+        self.received_at: list[float] = []
         self.endpoint = Endpoint("127.0.0.1", 0)
 
     async def start(self, host: str, port: int, announce: Endpoint | None = None) -> None:
@@ -195,7 +207,23 @@
             await session.put(self._announce_url, json=announcement)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._respond(request)
+        if not response.prepared:
+            response.headers.update(self._statements())
+        return response
+
+    def _statements(self) -> dict[str, str]:
+        """Return the headers in which the instance says how it is."""
+        headers = {}
+        if self.behaviour.rate_limit is not None:
+            headers[NAMES.rate_limit] = str(self.behaviour.rate_limit)
+        if self.behaviour.leaving:
+            headers[NAMES.leaving] = LEAVING_VALUE
+        return headers
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         self.received_requests += 1
+        self.received_at.append(asyncio.get_running_loop().time())
         body = await request.read()
         fault = self.behaviour.fault
         if POISON_TEXT in request.path and request.transport is not None:
