Node without a gate: share a named limit, leave out instances that leave

Seen: the other program passed by both statements; an upstream with a limit of 10 a second got all that its callers sent, one that leaves was still called. Cause: the same as at the gate, responses were read for 'not run' alone. Why this works: each response is read for both. A node takes its share of a limit (the limit over the nodes that call the instance, as its own node reports them), counted where an instance is chosen, which covers first tries, retries and hedges. A call that the limits admit only after its deadline is refused at once as instance_limited. What remains: each calling node may save up one request, so a limit far below the number of nodes can be exceeded by one request a node.

--- a/peridottrack/balancer.py
+++ b/peridottrack/balancer.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
+from peridottrack import log
 from peridottrack.document import ServiceConfig
 from peridottrack.ejection import EjectionState, ejections_allowed
+from peridottrack.instanceheaders import InstanceHeaders
 from peridottrack.instanceview import (
     Attempt,
     InstanceView,
@@ -20,6 +22,7 @@
     ReportedSlowness,
     new_view,
 )
+from peridottrack.ratelimit import finite, token_wait_s
 from peridottrack.retry import RetryBudget
 from peridottrack.types import Clock, FailureDomain, Instance, InstanceId, InstanceState, Random
 
@@ -43,6 +46,9 @@
 """A request in flight is overdue after this many median latencies."""
 CENSORED_FACTOR = 2.0
 """A cancelled attempt counts as this many times the time that it had run."""
+LEAVING_S = 30.0
+"""Seconds for which an instance gets no calls after it said that it leaves; by then it is gone, or
+an instance that has started again under its id says so no more."""
 COLD_START_SHARE = 0.1
 """Share of the concurrency limit at which the ramp-up of a cold instance starts."""
 
@@ -100,7 +106,6 @@
 
     def set_instances(self, instances: Iterable[Instance], callers: int) -> None:
         """Replace the instances to choose from, and the number of nodes that call them."""
-        now = self._clock.now()
         self.callers = max(1, callers)
         had_instances = bool(self.view_by_id)
         views: dict[InstanceId, InstanceView] = {}
@@ -109,9 +114,10 @@
             if view is None:
                 # At node start all instances are new to this node, which does not make them cold.
                 cold = had_instances or instance.state is InstanceState.COLD
-                view = new_view(instance, self.callers, now, cold, self._rng)
+                view = new_view(instance, self.callers, self._clock, cold, self._rng)
             view.instance = instance
             view.limit.set_share(instance.slots, instance.connections, self.callers)
+            view.set_rate_limit(view.named_rate_limit, self.callers)
             views[instance.instance_id] = view
         self.view_by_id = views
 
@@ -139,6 +145,7 @@
         view = self._cheapest(self._sample(usable), now)
         attempt = Attempt(next(self._attempt_numbers), view, now)
         view.in_flight += 1
+        view.rate_limit.take()
         view.used_since_report = True
         view.attempt_by_number[attempt.number] = attempt
         view.ejection.record_start()
@@ -216,6 +223,31 @@
             view.others_in_flight = max(0.0, others_in_flight)
             view.others_at = self._clock.now()
 
+    def record_statements(self, instance: InstanceId, stated: InstanceHeaders) -> None:
+        """Record what an instance says of itself in a response."""
+        view = self.view_by_id.get(instance)
+        if view is None:
+            return
+        if stated.rate_limit is not None and stated.rate_limit != view.named_rate_limit:
+            log.event("upstream limited", instance=instance, per_s=finite(stated.rate_limit))
+            view.set_rate_limit(stated.rate_limit, self.callers)
+        if stated.leaving:
+            log.event("upstream leaving", instance=instance)
+            view.leaving_until = self._clock.now() + LEAVING_S
+
+    def all_leave(self) -> bool:
+        """Return whether all instances have said that they leave."""
+        now = self._clock.now()
+        return all(now < view.leaving_until for view in self.view_by_id.values())
+
+    def rate_wait_s(self, waiting: int) -> float:
+        """Return the seconds until the rate limits admit a call behind ``waiting`` others."""
+        limits = [view.rate_limit for view in self.view_by_id.values()]
+        if not limits or not all(limit.limited for limit in limits):
+            return 0.0
+        available = sum(limit.available() for limit in limits)
+        return token_wait_s(available - waiting, sum(limit.per_s for limit in limits))
+
     def ejected(self) -> list[InstanceId]:
         """Return the instances that are ejected or on trial."""
         return [
@@ -241,6 +273,8 @@
                 attempt.on_slow()
 
     def _has_capacity(self, view: InstanceView, now: float) -> bool:
+        if now < view.leaving_until or view.rate_limit.available() < 1.0:
+            return False
         if now < view.paused_until or not view.ejection.allows(now):
             return False
         return view.in_flight < self._effective_limit(view, now)
--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +16,7 @@
 from peridottrack.headernames import HeaderNames
 from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.poison import fingerprint
+from peridottrack.ratelimit import finite
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.types import Clock, Endpoint, InstanceId
 from peridottrack.upstream import ConnectionPool, UpstreamResponse
@@ -375,7 +375,7 @@
             limit=load.limit,
             slowdown=load.slowdown,
             slowdown_age_s=round(load.slowdown_age_s, 4),
-            rate_limit=load.rate_limit if math.isfinite(load.rate_limit) else None,
+            rate_limit=finite(load.rate_limit),
             admissible=round(load.admissible, 2),
         )
 
--- a/peridottrack/controllers/load.py
+++ b/peridottrack/controllers/load.py
@@ -13,6 +13,7 @@
 from peridottrack.document import Document, ServiceConfig
 from peridottrack.errors import ErrorKind
 from peridottrack.exceptions import RequestError
+from peridottrack.instanceheaders import InstanceHeaders
 from peridottrack.instanceview import Attempt, ReportedSlowness
 from peridottrack.limiter import DeadlineQueue, QueueEntry
 from peridottrack.metrics import Metrics
@@ -125,14 +126,17 @@
         Raises
         ------
         RequestError
-            ``NO_INSTANCE`` or ``TOO_LATE``, both not run.
+            ``NO_INSTANCE``, ``TOO_LATE`` or ``INSTANCE_LIMITED``, all not run.
         """
         service = self.service_by_name.get(call.service)
-        if service is None or not service.balancer.view_by_id:
+        if service is None or service.balancer.all_leave():
             raise RequestError(ErrorKind.NO_INSTANCE)
         wait_s = service.queue.wait_estimate_s()
         if wait_s and self._clock.now() + wait_s > call.deadline:
             raise RequestError(ErrorKind.TOO_LATE, "The queue is too long for its deadline.")
+        rate_wait_s = service.balancer.rate_wait_s(len(service.queue))
+        if self._clock.now() + rate_wait_s > call.deadline:
+            raise RequestError(ErrorKind.INSTANCE_LIMITED)
 
     async def acquire(self, call: Call) -> Attempt:
         """Take a slot of an instance; wait in the service's queue if none is free."""
@@ -174,6 +178,12 @@
             return False
         return service.balancer.may_hedge(call.progress.tried)
 
+    def record_statements(self, instance: Instance, stated: InstanceHeaders) -> None:
+        """Record what an instance says of itself in a response."""
+        state = self.service_by_name.get(instance.service)
+        if state is not None:
+            state.balancer.record_statements(instance.instance_id, stated)
+
     def record_slowness(
         self, service: ServiceName, instance: InstanceId, report: ReportedSlowness
     ) -> None:
--- a/peridottrack/filters/dispatch.py
+++ b/peridottrack/filters/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from multidict import CIMultiDict
@@ -18,7 +18,9 @@
 )
 from peridottrack.errors import RAN_HEADER, ErrorKind, Ran
 from peridottrack.exceptions import BrokeOff, NotConnected, RequestError
+from peridottrack.headernames import HeaderNames
 from peridottrack.headers import end_to_end_headers
+from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.metrics import Metrics
 from peridottrack.poison import PoisonList
 from peridottrack.types import Clock, Instance
@@ -70,6 +72,8 @@
         Client sessions with keep-alive connections and with a new connection for each request.
         Non-idempotent calls use a new one: if the upstream closed a reused connection just as the
         request is sent, it would be unknown whether the request ran.
+    on_statements
+        Called with what each response says of its instance.
     """
 
     def __init__(
@@ -79,7 +83,10 @@
         poison: PoisonList,
         metrics: Metrics,
         clock: Clock,
+        on_statements: Callable[[Instance, InstanceHeaders], None],
     ) -> None:
+        self._on_statements = on_statements
+        self._header_reader = InstanceHeaderReader(HeaderNames())
         self._keepalive_session = keepalive_session
         self._one_shot_session = one_shot_session
         self._poison = poison
@@ -94,6 +101,7 @@
         call.progress.tried.add(instance.instance_id)
         self._metrics.attempt(call.service, call.reason).inc()
         response = await self._send(call, instance)
+        self._on_statements(instance, self._header_reader.read(response.raw_headers))
         try:
             return await self._read(call, response)
         except BaseException:
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -27,7 +27,7 @@
 from peridottrack.concurrencylimit import ConcurrencyLimit
 from peridottrack.frames import GateLoad
 from peridottrack.headernames import LoadFigures
-from peridottrack.ratelimit import RateLimit
+from peridottrack.ratelimit import RateLimit, finite
 from peridottrack.runtimes import RunTime
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD, SlowdownEstimator
 from peridottrack.types import Clock, InstanceId, ServiceName
@@ -249,8 +249,8 @@
             log.event(
                 "rate limit",
                 instance=self.local_instance.instance,
-                per_s=_finite(per_s),
-                previous_per_s=_finite(before),
+                per_s=finite(per_s),
+                previous_per_s=finite(before),
                 started=self._recently_started(now),
             )
         if per_s != before:
@@ -466,8 +466,3 @@
         request.running_at_start = self.running
         request.slowdown_at_start = self.slowdown()
         request.on_decision(Verdict.RUN)
-
-
-def _finite(per_s: float) -> float | None:
-    """Return a rate limit for the log, None for no limit."""
-    return per_s if math.isfinite(per_s) else None
--- a/peridottrack/instanceview.py
+++ b/peridottrack/instanceview.py
@@ -9,7 +9,8 @@
 
 from peridottrack.ejection import Ejection
 from peridottrack.limiter import AdaptiveLimit
-from peridottrack.types import Instance, Random
+from peridottrack.ratelimit import RateLimit, share_of
+from peridottrack.types import Clock, Instance, Random
 
 LATENCY_WEIGHT = 0.15
 """Weight of a new sample in the moving average of an instance's latency."""
@@ -89,6 +90,12 @@
         Whether the instance got a call since the last load report about it.
     paused_until
         Local time before which the instance gets no calls, because it shed one.
+    rate_limit
+        This node's share of the rate limit that the instance names.
+    named_rate_limit
+        Requests a second that the instance takes from all nodes together, infinite for no limit.
+    leaving_until
+        Local time before which the instance gets no calls, because it said that it leaves.
     """
 
     instance: Instance
@@ -106,6 +113,14 @@
     slowness: ReportedSlowness = field(default_factory=ReportedSlowness)
     sheds_in_a_row: int = 0
     paused_until: float = float("-inf")
+    rate_limit: RateLimit = field(kw_only=True)
+    named_rate_limit: float = math.inf
+    leaving_until: float = float("-inf")
+
+    def set_rate_limit(self, per_s: float, callers: int) -> None:
+        """Set the limit that the instance names, and the number of nodes that share it."""
+        self.named_rate_limit = per_s
+        self.rate_limit.set(share_of(per_s, callers) if math.isfinite(per_s) else math.inf)
 
     def pause_after_shed(self, median_s: float, now: float, rng: Random) -> None:
         """Pause calls to the instance, for twice as long with each consecutive rejection.
@@ -210,7 +225,10 @@
         return self._count * math.exp((self._updated_at - now) / RATE_DECAY_S)
 
 
-def new_view(instance: Instance, callers: int, now: float, cold: bool, rng: Random) -> InstanceView:
+def new_view(
+    instance: Instance, callers: int, clock: Clock, cold: bool, rng: Random
+) -> InstanceView:
     """Return the view of an instance without any signals yet."""
     limit = AdaptiveLimit(instance.slots, instance.connections, callers)
-    return InstanceView(instance, limit, Ejection(rng), now, cold)
+    rate_limit = RateLimit(clock)
+    return InstanceView(instance, limit, Ejection(rng), clock.now(), cold, rate_limit=rate_limit)
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -244,7 +244,14 @@
                 RetryFilter(self.load, self.poison, self._clock, self._rng),
                 ChoiceFilter(self.load),
             ],
-            Dispatcher(pooled, unpooled, self.poison, self.metrics, self._clock),
+            Dispatcher(
+                pooled,
+                unpooled,
+                self.poison,
+                self.metrics,
+                self._clock,
+                self.load.record_statements,
+            ),
         )
         caller_server = CallerServer(chain, self.drain, self._clock, self.metrics)
         self.caller_listener = CallerListener(caller_server)
--- a/peridottrack/ratelimit.py
+++ b/peridottrack/ratelimit.py
@@ -15,11 +15,25 @@
 """Longest wait that is reported; an instance that takes no requests has an endless one."""
 
 
+MIN_SHARED_PER_S = 0.5
+"""Rate that nodes without a gate share at least: only a response tells them that a limit ended."""
+
+
+def share_of(per_s: float, callers: int) -> float:
+    """Return the part of a rate limit that one of the nodes that call an instance may use."""
+    return max(per_s, MIN_SHARED_PER_S) / max(callers, 1)
+
+
 def burst_of(per_s: float) -> float:
     """Return the largest number of requests that a rate limit admits at once."""
     return max(MIN_BURST, per_s * BURST_S)
 
 
+def finite(per_s: float) -> float | None:
+    """Return a rate limit for the log, None for no limit."""
+    return per_s if math.isfinite(per_s) else None
+
+
 def token_wait_s(available: float, per_s: float) -> float:
     """Return the seconds until one request is admitted, by the requests admitted now.
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -35,6 +35,7 @@
 # Modules of the node without a gate, whose events are listed on the operators' page.
 MODULES_WITHOUT_GATE = {
     "node.py",
+    "balancer.py",
     "callerserver.py",
     "demo.py",
     "log.py",
