Log that the store was restored from an older copy

None of the hypotheses could be told from 'history of the store lost', which a store that drops its history causes too. Each response's era is read, and 'store restored' says era, position and version before and after. Nothing follows from it yet.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -78,6 +78,7 @@
         self._clock = clock
         self._rng = rng
         self._position = 0
+        self._era = 0
         self._rejected_version = 0
         self._store_unavailable = False
         self.table: RouteTable | None = None
@@ -154,6 +155,16 @@
             self._record_availability(True, str(error))
             return False
         self._record_availability(False, "")
+        if self._era and update.era != self._era:
+            log.event(
+                "store restored",
+                era=update.era,
+                previous_era=self._era,
+                position=update.position,
+                previous_position=self._position,
+                version=self.version,
+            )
+        self._era = update.era
         self._position = update.position
         if update.data is not None:
             self._apply(update.data, True)
@@ -170,6 +181,7 @@
         return {
             "version": self.version,
             "position": self._position,
+            "era": self._era,
             "store_away": self._store_unavailable,
             "watchers": select_watchers(self._active_members()),
         }
--- a/peridottrack/documentsource.py
+++ b/peridottrack/documentsource.py
@@ -18,10 +18,13 @@
         Position in the store's change history from which to follow next.
     data
         The document, None if it has not changed.
+    era
+        Increases when the store is restored from an older copy, and positions start over.
     """
 
     position: int
     data: bytes | None
+    era: int = 0
 
 
 class DocumentSource(Protocol):
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -115,6 +115,17 @@
     "the store does not tell of other nodes": Event(
         "The directory of nodes could not be read; the node retries.", {"error": "the error"}
     ),
+    "store restored": Event(
+        "The store came back from an older copy: its positions start over, and what nodes wrote"
+        " since is lost.",
+        {
+            "era": "its era now",
+            "previous_era": "its era before",
+            "position": "position in its changes now",
+            "previous_position": "position before, of another history; 0 if already dropped",
+            "version": "document in force",
+        },
+    ),
     "entry not written": Event(
         "The node's own row could not be written to the directory.", {"error": "the error"}
     ),
--- a/peridottrack/platform/store.py
+++ b/peridottrack/platform/store.py
@@ -27,6 +27,7 @@
 that the platform sets on nodes begin to apply three seconds after an outage.
 """
 GONE_STATUS = 410
+ERA_HEADER = "Store-Era"
 
 
 class StoreClient:
@@ -36,6 +37,12 @@
     ----------
     count
         Called with the operation and the outcome of each call.
+
+    Attributes
+    ----------
+    era
+        The store's era in its last response; it rises by one when the store is restored from an
+        older copy. 0 before the first response, and for a store that names none.
     """
 
     def __init__(
@@ -45,6 +52,7 @@
         timeout_s: float,
         count: Callable[[str, str], None],
     ) -> None:
+        self.era = 0
         self._session = session
         self._url = url
         self._timeout_s = timeout_s
@@ -75,6 +83,7 @@
             ) as response:
                 data = json.loads(await response.read() or b"null")
                 status = response.status
+                self.era = int(response.headers.get(ERA_HEADER, "0"))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             self._count(operation, "unanswered")
             raise StoreUnavailable(f"{operation}: {error!r}") from error
@@ -137,7 +146,7 @@
         """Return the latest document."""
         query = {"table": OPERATORS_TABLE, "part": ""}
         _, page = await self._client.call("document", "GET", "/v1/rows-get", query=query)
-        return DocumentUpdate(int(page["ver"]), _document_from(page))
+        return DocumentUpdate(int(page["ver"]), _document_from(page), self._client.era)
 
     async def follow(self, position: int) -> DocumentUpdate:
         """Wait for a change of the operators' table; the wait may end without one."""
@@ -151,7 +160,7 @@
         )
         if status == GONE_STATUS:
             raise HistoryTruncated(f"changes after position {position} are no longer available")
-        return DocumentUpdate(int(page["ver"]), _document_from(page))
+        return DocumentUpdate(int(page["ver"]), _document_from(page), self._client.era)
 
 
 def _document_from(page: Any) -> bytes | None:
