A position in the store's changes holds for one era of the store

Seen: after a restore a document was not in force until the next one came, if the store had counted up to the position that its followers had before. Cause: the position was taken for one in an ever-growing history. A store that restores a copy begins another one, and gives out the same numbers again; 410 shows it only while the store has not reached the old position. The class: a number compared across two histories. Why this works: each response carries the era. When it differs from that of the response before, the position is dropped with the response, and the document is read whole. Versions of the document still decide, so an older one that came back is not applied.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from peridottrack import log
-from peridottrack.documentsource import DocumentReader, DocumentSource
+from peridottrack.documentsource import DocumentReader, DocumentSource, DocumentUpdate
 from peridottrack.exceptions import HistoryTruncated, InvalidDocument, StoreUnavailable
 from peridottrack.frames import DocumentFrame
 from peridottrack.messages import MemberUpdate
@@ -155,21 +155,30 @@
             self._record_availability(True, str(error))
             return False
         self._record_availability(False, "")
-        if self._era and update.era != self._era:
-            log.event(
-                "store restored",
-                era=update.era,
-                previous_era=self._era,
-                position=update.position,
-                previous_position=self._position,
-                version=self.version,
-            )
-        self._era = update.era
+        if self._is_restored(update):
+            # The position was one of another history, so changes may lie before it.
+            self._position = 0
+            return True
         self._position = update.position
         if update.data is not None:
             self._apply(update.data, True)
         return True
 
+    def _is_restored(self, update: DocumentUpdate) -> bool:
+        """Record the store's era; return whether it has changed since the last response."""
+        previous_era, self._era = self._era, update.era
+        if not previous_era or update.era == previous_era:
+            return False
+        log.event(
+            "store restored",
+            era=update.era,
+            previous_era=previous_era,
+            position=update.position,
+            previous_position=self._position,
+            version=self.version,
+        )
+        return True
+
     def _record_availability(self, unavailable: bool, reason: str) -> None:
         if unavailable != self._store_unavailable:
             log.event("store lost" if unavailable else "store regained", why=reason)
