A node that follows a restored store writes the lost entries of all nodes again

Seen: a node that started after a restore found nobody, if the copy was older than the entries of all others; two groups of nodes then serve past each other. Cause: an entry was written once, at the start of its node, on the ground that the store loses nothing that it has acknowledged. Why this works: the nodes that follow the store notice the new era; after a random pause each compares the entries with the members that it knows and writes those that are missing or older, up to 100 a call, again until the store answers. No other node has to ask the store. Entries of nodes that have left may come back; an entry only holds an address.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -56,6 +56,11 @@
     on_document
         Called with each new route table, its frame, and whether it came from the store, in which
         case other nodes may not have it yet.
+
+    Attributes
+    ----------
+    on_restored
+        Called when the store was restored from an older copy.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         self._era = 0
         self._rejected_version = 0
         self._store_unavailable = False
+        self.on_restored: Callable[[], None] = lambda: None
         self.table: RouteTable | None = None
         self.frame: DocumentFrame | None = None
 
@@ -158,6 +164,7 @@
         if self._is_restored(update):
             # The position was one of another history, so changes may lie before it.
             self._position = 0
+            self.on_restored()
             return True
         self._position = update.position
         if update.data is not None:
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -5,7 +5,7 @@
 import asyncio
 import hashlib
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
@@ -86,6 +86,14 @@
         ...
 
 
+class SharedDirectory(Directory, Protocol):
+    """A `Directory` in which a node may also write the entries of others."""
+
+    async def write_all(self, members: Sequence[MemberUpdate]) -> bool:
+        """Write the entries of several nodes; return whether the store accepted all of them."""
+        ...
+
+
 class TableDirectory:
     """`Directory` with one row of a `TableStore` per node."""
 
@@ -181,6 +189,25 @@
         """Write this node's entry, so that others can join through the directory."""
         return await self._directory.write(self.membership.local_member)
 
+    async def restore_entries(self, directory: SharedDirectory) -> bool:
+        """Write the entries that the directory lacks; return whether the store accepted them.
+
+        A store restored from an older copy has lost those of nodes that started since.
+        """
+        try:
+            updates = await directory.read()
+        except StoreUnavailable as error:
+            log.warning("the store does not tell of other nodes", error=str(error))
+            return False
+        incarnation_by_node = {update.node: update.incarnation for update in updates}
+        missing = [
+            update
+            for update in self.membership.active_members()
+            if incarnation_by_node.get(update.node, -1) < update.incarnation
+        ]
+        log.event("entries restored", found=len(updates), written=len(missing))
+        return await directory.write_all(missing)
+
     async def leave(self) -> None:
         """Announce that this node leaves and remove its entry from the directory."""
         self.membership.leave(self._clock.now())
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -126,6 +126,10 @@
             "version": "document in force",
         },
     ),
+    "entries restored": Event(
+        "After a restore of the store, this node wrote the entries of nodes that it lacked.",
+        {"found": "entries in the store", "written": "entries written, also of other nodes"},
+    ),
     "entry not written": Event(
         "The node's own row could not be written to the directory.", {"error": "the error"}
     ),
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Protocol
 
 import aiohttp
@@ -22,7 +22,7 @@
 from peridottrack.controllers.gate import GateController
 from peridottrack.controllers.links import LinksController
 from peridottrack.controllers.localinstance import LocalInstanceController
-from peridottrack.controllers.members import ClusterView, Directory, MembersController
+from peridottrack.controllers.members import ClusterView, MembersController, SharedDirectory
 from peridottrack.controllers.poison import PoisonController
 from peridottrack.controllers.probe import Prober, open_from_health
 from peridottrack.datagramcodec import DatagramSigner
@@ -54,6 +54,8 @@
 JOIN_RETRY_S = 1.0
 """Mean pause before a failed join is retried; it doubles up to `JOIN_RETRY_MAX_S`."""
 JOIN_RETRY_MAX_S = 4.0
+RESTORE_JITTER_S = 0.3
+"""Longest pause before a node checks the entries in a restored store."""
 MIN_UNREADY_CHECKS = 2
 """Readiness checks answered "not ready" after which callers send no new requests here."""
 UNREADY_SETTLE_S = 0.15
@@ -106,7 +108,7 @@
 
     def directory(
         self, session: aiohttp.ClientSession, settings: MeshSettings, count: CountCall
-    ) -> Directory:
+    ) -> SharedDirectory:
         """Return the directory of nodes in the store."""
         ...
 
@@ -140,6 +142,7 @@
         self._rng = random.Random()
         self.metrics = Metrics()
         self._tasks: list[asyncio.Task[Any]] = []
+        self._restoring: asyncio.Task[None] | None = None
         self._runners: list[web.BaseRunner] = []
         self._leaving = False
         self._unready_checks = 0
@@ -236,6 +239,8 @@
 
     async def close(self) -> None:
         """Stop without waiting for requests."""
+        if self._restoring is not None:
+            self._tasks.append(self._restoring)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -277,9 +282,12 @@
             self.gate_controller.gate, ServiceName(settings.service), clock
         )
         self.gate_controller.on_leaving = self.local_instance.record_leaving
+        self._directory = self._adapter.directory(
+            self.store_session, settings, self._count_store_call
+        )
         self.members = MembersController(
             local_member,
-            self._adapter.directory(self.store_session, settings, self._count_store_call),
+            self._directory,
             self.datagrams,
             clock,
             rng,
@@ -299,6 +307,7 @@
             clock,
             rng,
         )
+        self.document_follower.on_restored = self._restore_entries
         hooks = LinkHooks(lambda: self.document_follower.frame, self.document_follower.apply_frame)
         self.link_server = LinkServer(self.gate_controller, hooks, clock)
         local_route = LocalRoute(self.gate_controller, domain, clock)
@@ -413,8 +422,24 @@
             log.flush_pending()
 
     async def _join(self) -> None:
+        await self._retry(self.members.join_once)
+
+    def _restore_entries(self) -> None:
+        """Write the entries of nodes that the restored store has lost, in the background."""
+
+        async def restore() -> None:
+            # The nodes that follow the store notice at the same time; the first writes for all.
+            await asyncio.sleep(RESTORE_JITTER_S * self._rng.random())
+            await self._retry(lambda: self.members.restore_entries(self._directory))
+
+        if self._restoring is not None:
+            self._restoring.cancel()
+        self._restoring = asyncio.create_task(restore())
+
+    async def _retry(self, call: Callable[[], Awaitable[bool]]) -> None:
+        """Repeat a call to the store until it succeeds."""
         pause_s = JOIN_RETRY_S
-        while not await self.members.join_once():
+        while not await call():
             await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
             pause_s = min(JOIN_RETRY_MAX_S, pause_s * 2)
 
--- a/peridottrack/platform/store.py
+++ b/peridottrack/platform/store.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import aiohttp
@@ -27,6 +27,7 @@
 that the platform sets on nodes begin to apply three seconds after an outage.
 """
 GONE_STATUS = 410
+MAX_TRANSACTION_ROWS = 100
 ERA_HEADER = "Store-Era"
 
 
@@ -117,9 +118,15 @@
 
     async def write(self, member: MemberUpdate) -> bool:
         """Write the node's own entry; return whether the store accepted it."""
-        value = base64.b64encode(json.dumps(update_to_data(member)).encode()).decode()
-        row = {"table": NODES_TABLE, "part": "", "key": member.node, "value": value}
-        return await self._change([row], [])
+        return await self.write_all([member])
+
+    async def write_all(self, members: Sequence[MemberUpdate]) -> bool:
+        """Write the entries of several nodes; return whether the store accepted all of them."""
+        for start in range(0, len(members), MAX_TRANSACTION_ROWS):
+            batch = members[start : start + MAX_TRANSACTION_ROWS]
+            if not await self._change([_entry_row(member) for member in batch], []):
+                return False
+        return True
 
     async def remove(self, node: NodeId) -> None:
         """Remove an entry if the store is available."""
@@ -136,6 +143,11 @@
         return status == 200
 
 
+def _entry_row(member: MemberUpdate) -> dict[str, str]:
+    value = base64.b64encode(json.dumps(update_to_data(member)).encode()).decode()
+    return {"table": NODES_TABLE, "part": "", "key": member.node, "value": value}
+
+
 class StoreDocuments:
     """`DocumentSource` that reads the operators' row and follows the feed of its table."""
 
