A node that begins to follow the store notices a restore since its entry was written

Seen: if the nodes that followed the store are gone or silent when it comes back, those that begin to follow see the new era as their first, and nobody writes the lost entries again. Cause: the era was known to followers alone. Why this works: every node has asked the store at its start, for its own entry; that era counts until the follower has one of its own.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -61,6 +61,8 @@
     ----------
     on_restored
         Called when the store was restored from an older copy.
+    entered_era
+        Returns the store's era when this node last wrote or read entries there, 0 if unknown.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self._rejected_version = 0
         self._store_unavailable = False
         self.on_restored: Callable[[], None] = lambda: None
+        self.entered_era: Callable[[], int] = lambda: 0
         self.table: RouteTable | None = None
         self.frame: DocumentFrame | None = None
 
@@ -173,7 +176,7 @@
 
     def _is_restored(self, update: DocumentUpdate) -> bool:
         """Record the store's era; return whether it has changed since the last response."""
-        previous_era, self._era = self._era, update.era
+        previous_era, self._era = self._era or self.entered_era(), update.era
         if not previous_era or update.era == previous_era:
             return False
         log.event(
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -89,6 +89,11 @@
 class SharedDirectory(Directory, Protocol):
     """A `Directory` in which a node may also write the entries of others."""
 
+    @property
+    def era(self) -> int:
+        """The store's era when it last answered, 0 if unknown."""
+        ...
+
     async def write_all(self, members: Sequence[MemberUpdate]) -> bool:
         """Write the entries of several nodes; return whether the store accepted all of them."""
         ...
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -308,6 +308,7 @@
             rng,
         )
         self.document_follower.on_restored = self._restore_entries
+        self.document_follower.entered_era = lambda: self._directory.era
         hooks = LinkHooks(lambda: self.document_follower.frame, self.document_follower.apply_frame)
         self.link_server = LinkServer(self.gate_controller, hooks, clock)
         local_route = LocalRoute(self.gate_controller, domain, clock)
--- a/peridottrack/platform/store.py
+++ b/peridottrack/platform/store.py
@@ -100,6 +100,11 @@
     def __init__(self, client: StoreClient) -> None:
         self._client = client
 
+    @property
+    def era(self) -> int:
+        """The store's era when it last answered, 0 if unknown."""
+        return self._client.era
+
     async def read(self) -> list[MemberUpdate]:
         """Return all entries except those that cannot be decoded."""
         updates: list[MemberUpdate] = []
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -70,6 +70,19 @@
         await world.settle()
 
 
+# Guards against lost entries that nobody writes again, since the nodes that followed the store
+# before are gone and the others did not hear of its era.
+async def test_node_that_begins_to_follow_notices_that_the_store_was_restored(world):
+    copy = world.store.copy()
+    world.store.restore(copy)
+    late = world.hosts[0].node.document_follower
+    late._position = late._era = 0
+    world.store.rows = {key: row for key, row in world.store.rows.items() if key[0] != NODES_TABLE}
+    world.hosts[1].node.document_follower.on_restored = lambda: None
+    world.store.put("op", "config", document_bytes(version=8))
+    await wait_until(lambda: sum(key[0] == NODES_TABLE for key in world.store.rows) == 2)
+
+
 async def test_restored_store_does_not_bring_an_older_document_back(world):
     copy = world.store.copy()
     world.store.put("op", "config", document_bytes(version=9))
