Soak: instances that name rate limits, and a store restored from a copy

Neither new fault was played by a check of our own beside the focused tests. An instance names 0 to 5 requests a second for 6.5 s, an instance that leaves says so in all responses, and the store comes back from an older copy. 'rate limit' is judged from what instances receive, probes included, against the stated bound.

--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -13,6 +13,7 @@
 from peridottrack import cmdline, forward, mesh, replies
 from peridottrack.controllers import follow, localinstance
 from peridottrack.ingress import BufferedResponse
+from peridottrack.ratelimit import RateLimit
 from peridottrack.resendbudget import ResendBudget
 from peridottrack.types import InstanceState
 
@@ -56,7 +57,7 @@
 
 
 def deaf_to_leaving() -> None:
-    """Acknowledge the announcement that an instance is draining without applying it."""
+    """Acknowledge that an instance leaves without applying it, and pass by its responses."""
     original_apply = localinstance.LocalInstanceController.apply
 
     def apply_unless_draining(self, report):
@@ -65,6 +66,9 @@
         return original_apply(self, report)
 
     replace_method(localinstance.LocalInstanceController, "apply", apply_unless_draining)
+    replace_method(
+        localinstance.LocalInstanceController, "record_leaving", lambda self, instance: None
+    )
 
 
 def abrupt_stop() -> None:
@@ -88,6 +92,11 @@
     replace_method(follow.DocumentFollowController, "_apply", apply_first_only)
 
 
+def deaf_to_limits() -> None:
+    """Ignore the rate limits that instances name."""
+    replace_method(RateLimit, "set", lambda self, per_s: None)
+
+
 def boundless_repeats() -> None:
     """Resend without charging the resend budget."""
     replace_method(ResendBudget, "take", lambda self: True)
@@ -102,6 +111,7 @@
         deaf_to_leaving,
         abrupt_stop,
         deaf_to_documents,
+        deaf_to_limits,
         boundless_repeats,
     )
 }
@@ -112,6 +122,7 @@
     "deaf_to_leaving": {"nothing after leaving"},
     "abrupt_stop": {"nothing cut"},
     "deaf_to_documents": {"recovery"},
+    "deaf_to_limits": {"rate limit"},
     "boundless_repeats": {"budget"},
 }
 """Guarantees by the switch that violates them; the soak must report at least one of each set."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,11 +5,12 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from soak.proxy import Proxy, ProxyFault
-from soak.site import Site, SoakHost
+from soak.site import NamedRateLimit, Site, SoakHost
 
 DURATION_S = (0.3, 3.0)
 """Bounds of a fault's duration: below and above the timeouts by which nodes detect a failure."""
@@ -20,6 +21,10 @@
 
 Longer than any grace period, such as `guarantees.LEAVE_GRACE_S`.
 """
+LIMIT_S = 6.5
+"""Time for which an instance names a rate limit: longer than the window in which it is checked."""
+RATE_LIMITS = (0, 0.5, 2, 5)
+"""Rate limits that instances name, in requests a second."""
 DELAYS_S = (0.005, 0.05, 0.3)
 """Delays that a proxy adds."""
 MAX_AFFECTED = 4
@@ -83,6 +88,8 @@
             (self._slow_instance, 1.0),
             (self._all_instances_lose, 1.0),
             (self._accept_document, 3.0),
+            (self._limit_instance, 1.5),
+            (self._restore_store, 1.0),
         ]
         faults = [fault for fault, _ in weighted_faults]
         weights = [weight for _, weight in weighted_faults]
@@ -197,6 +204,18 @@
         await asyncio.sleep(self._draw_duration_s())
         store.status, store.lose_responses, store.silent = 200, False, False
 
+    async def _restore_store(self) -> None:
+        """Restore the store from an older copy; the operators write again what is lost."""
+        store, copy = self.site.store, self.site.store.copy()
+        await asyncio.sleep(self._draw_duration_s())
+        self._record(None, "store restored from a copy")
+        store.status = 503
+        await asyncio.sleep(DURATION_S[0])
+        store.restore(copy)
+        store.status = 200
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.site.write_document()
+
     async def _accept_document(self) -> None:
         self.site.accept()
         self._record(None, f"version {self.site.version} accepted")
@@ -215,6 +234,20 @@
             await asyncio.sleep(DURATION_S[0])
         await self.site.replace_instance(host)
 
+    async def _limit_instance(self) -> None:
+        host = self._draw_host()
+        script = host.instance.script
+        if script.rate_limit:
+            return
+        script.rate_limit = str(self.rng.choice(RATE_LIMITS))
+        self._record(host, f"instance names a limit of {script.rate_limit} a second")
+        since = time.monotonic()
+        await asyncio.sleep(LIMIT_S)
+        self.site.rate_limits.append(
+            NamedRateLimit(host.number, float(script.rate_limit), since, time.monotonic())
+        )
+        script.rate_limit = ""
+
     async def _instance_fault(self) -> None:
         host = self._draw_host()
         fault = self.rng.choice(INSTANCE_FAULTS)
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -6,12 +6,23 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from soak.site import RESEND_RATIO, RESEND_SLACK, RESEND_WINDOW_S, Site, SoakHost
+from soak.site import (
+    RESEND_RATIO,
+    RESEND_SLACK,
+    RESEND_WINDOW_S,
+    NamedRateLimit,
+    Site,
+    SoakHost,
+)
 
 EXCUSE_S = 3.0
 """Time after a disturbance of a host in which requests that end without response are excused."""
 LEAVE_GRACE_S = 2.5
 """Time after its leaving was acknowledged in which an instance may still receive requests."""
+LIMIT_GRACE_S = 3.0
+"""Time after an instance has first named a rate limit from which it is checked."""
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+"""In any such window an instance gets at most this many times its limit, and the slack."""
 CLOSE_RACE_S = 0.2
 """A request sent while the node closes its connection ends within this time and never runs."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -156,6 +167,21 @@
                     "nothing cut", sent.request, f"by a planned stop, after {took_s:.2f} s"
                 )
         self._check_budget()
+        for limit in self.site.rate_limits:
+            self._check_rate_limit(limit)
+
+    def _check_rate_limit(self, limit: NamedRateLimit) -> None:
+        first, last = limit.since + LIMIT_GRACE_S, limit.until
+        received_at = [
+            at for at in self.site.hosts[limit.host].instance.received_at if first <= at <= last
+        ]
+        allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for start in received_at:
+            received = sum(start <= at < start + LIMIT_WINDOW_S for at in received_at)
+            if received > allowed:
+                detail = f"host {limit.host}: {received} requests for {limit.per_s} a second"
+                self.record_violation("rate limit", "", detail)
+                return
 
     def _check_budget(self) -> None:
         sent_at = sorted(sent.sent_at for sent in self.request_by_id.values())
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -94,6 +94,16 @@
                 self.process.send_signal(signal_number)
 
 
+@dataclass(frozen=True)
+class NamedRateLimit:
+    """A rate limit that the instance of a host named for some time."""
+
+    host: int
+    per_s: float
+    since: float
+    until: float
+
+
 @dataclass
 class Site:
     """Store, document and hosts.
@@ -106,6 +116,8 @@
         Newest version of the document.
     left_at
         When the node acknowledged that an instance leaves, by name of the instance.
+    rate_limits
+        The rate limits that instances have named and no longer name.
     """
 
     folder: Path
@@ -114,6 +126,7 @@
     hosts: list[SoakHost] = field(default_factory=list)
     version: int = 0
     left_at: dict[str, float] = field(default_factory=dict)
+    rate_limits: list[NamedRateLimit] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
     _heartbeat_tasks: list[asyncio.Task] = field(default_factory=list)
 
@@ -204,6 +217,10 @@
     def accept(self) -> None:
         """Accept a new document version, which adds a route named after it."""
         self.version += 1
+        self.write_document()
+
+    def write_document(self) -> None:
+        """Write the newest document version to the store."""
         rows = list(DOCUMENT["routes"]["rows"])
         first = max(1, self.version - EARLIER_VERSIONS)
         for version in range(first, self.version + 1):
@@ -236,9 +253,10 @@
         return acknowledged
 
     def leave(self, host: SoakHost) -> None:
-        """Let the instance leave: from now on its heartbeats and its health check report it."""
+        """Let the instance leave: from now on its heartbeats and all its responses say so."""
         host.leaving = True
         host.instance.script.healthy = False
+        host.instance.script.leaving = True
 
     async def replace_instance(self, host: SoakHost) -> None:
         """Rename the stand-in, so that it appears as a new instance after one has left."""
@@ -247,6 +265,7 @@
         host.instance.name = f"i-{host.number}.{host.instance_count}"
         host.leaving = False
         host.instance.script.healthy = True
+        host.instance.script.leaving = False
 
     async def ready(self, host: SoakHost) -> bool:
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 from soak.guarantees import LEAVE_GRACE_S, GuaranteeChecker, SentRequest
 from soak.proxy import Proxy, ProxyFault
 from soak.run import soak
-from soak.site import Site, SoakHost
+from soak.site import NamedRateLimit, Site, SoakHost
 from users_platform import InstanceStandin, Run
 
 CI_SEED = 7
@@ -72,6 +72,15 @@
     assert [(one.guarantee, one.request) for one in checker.violations] == [("at most once", "s1")]
 
 
+@pytest.mark.parametrize(("received", "violated"), [(11, set()), (12, {"rate limit"})])
+def test_more_requests_than_a_named_limit_allows_are_found(checker, received, violated):
+    now = time.monotonic()
+    checker.site.rate_limits.append(NamedRateLimit(0, 1.0, now - 10.0, now))
+    times = [now - 5.0 + number / 10 for number in range(received)]
+    checker.site.hosts[0].instance.received_at = [now - 9.0] * 50 + times
+    assert violated_at_end(checker) == violated
+
+
 def test_a_run_without_a_request_is_found(checker):
     add_run(checker, "s9")
     assert violated_at_end(checker) == {"nothing unasked"}
