--- a/peridottrack/standin/memory.py
+++ b/peridottrack/standin/memory.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import bisect
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from peridottrack.standin.faults import (
     APPLIED_BUT_UNKNOWN,
@@ -42,6 +42,17 @@
         self._sort_keys_by_partition: dict[str, list[str]] = {}
         self._late_writes: set[asyncio.Task[None]] = set()
 
+    def copy(self) -> dict[RowKey, Row]:
+        """Return a copy of all rows, from which the table can be restored."""
+        return dict(self._row_by_key)
+
+    def restore(self, rows: Mapping[RowKey, Row]) -> None:
+        """Replace all rows by a copy, as after a restore: later writes are lost."""
+        self._row_by_key = dict(rows)
+        self._sort_keys_by_partition = {}
+        for key in self._row_by_key:
+            bisect.insort(self._sort_keys_by_partition.setdefault(key.partition, []), key.sort)
+
     async def get(self, key: RowKey) -> Row | None:
         """Return a row, or None."""
         self.reads += 1
