--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+from mesh_world import World
 
 from peridottrack.controllers.announce import Announcement
 from peridottrack.standin.cluster import Cluster, Host
@@ -54,6 +55,15 @@
     await cluster.stop()
 
 
+@pytest.fixture
+async def world():
+    """Two hosts on the users' platform."""
+    environment = World()
+    await environment.start(2)
+    yield environment
+    await environment.stop()
+
+
 def known_failures():
     """Return the entries of KNOWN-RED.txt by the id of their test."""
     path = Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/tests/test_leaving_header.py
+++ b/tests/test_leaving_header.py
@@ -3,21 +3,12 @@
 from __future__ import annotations
 
 import pytest
-from mesh_world import World
 from test_mesh import open_only, routes, wait_until
 
 from peridottrack.mesh import MeshNode
 from peridottrack.platform import ADAPTER
 
 
-@pytest.fixture
-async def world():
-    environment = World()
-    await environment.start(2)
-    yield environment
-    await environment.stop()
-
-
 # Guards against requests to an instance that has said in a response that it leaves.
 @pytest.mark.parametrize("caller_number", [0, 1])
 async def test_instance_that_says_that_it_leaves_gets_no_more_requests(world, caller_number):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -15,14 +15,6 @@
 from peridottrack.types import InstanceId, ServiceName
 
 
-@pytest.fixture
-async def world():
-    environment = World()
-    await environment.start(2)
-    yield environment
-    await environment.stop()
-
-
 def open_only(world: World, number: int) -> None:
     """Close the gates of all instances but one."""
     for index, host in enumerate(world.hosts):
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -20,14 +20,6 @@
 """More than the socket buffers of both ends hold, so that a part waits in the node."""
 
 
-@pytest.fixture
-async def world():
-    environment = World()
-    await environment.start(2)
-    yield environment
-    await environment.stop()
-
-
 async def use_long_timeouts(world: World) -> None:
     world.store.put("op", "config", document_with_timeout(30, 10.0))
     await wait_until(lambda: all(host.node.document_follower.version == 30 for host in world.hosts))
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 
-import pytest
 from mesh_world import World
 from test_mesh import routes, wait_until
 
@@ -18,14 +17,6 @@
 """What an instance may get at the most in any window: this many times its limit, and the slack."""
 
 
-@pytest.fixture
-async def world():
-    environment = World()
-    await environment.start(2)
-    yield environment
-    await environment.stop()
-
-
 def allowed(per_s: float) -> float:
     return ALLOWED_FACTOR * per_s * WINDOW_S + ALLOWED_SLACK
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-import pytest
 from mesh_world import World
 from test_mesh import wait_until
 from users_platform import document_bytes
@@ -12,14 +11,6 @@
 NODES_TABLE = "peridottrack-nodes"
 
 
-@pytest.fixture
-async def world():
-    environment = World()
-    await environment.start(2)
-    yield environment
-    await environment.stop()
-
-
 def versions(world: World) -> list[int]:
     return [host.node.document_follower.version for host in world.hosts]
 
