After a restore only the entries that are missing are written

Seen in the same logs: 'entries restored' found 12 and wrote 12, then each other follower wrote one more. Cause: entries were compared by incarnation. A member's incarnation rises when the store goes and comes, its entry stays as it is, so all seemed lost. Why this works: an entry is there to be found by; one with the member's address does that, and newer incarnations spread by gossip. Evidence: the test counts the transactions after a restore that lost nothing; it failed and passes.

--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -204,11 +204,12 @@
         except StoreUnavailable as error:
             log.warning("the store does not tell of other nodes", error=str(error))
             return False
-        incarnation_by_node = {update.node: update.incarnation for update in updates}
+        # Newer incarnations of nodes that are found under the same address spread by gossip.
+        admin_by_node = {update.node: update.admin for update in updates}
         missing = [
             update
             for update in self.membership.active_members()
-            if incarnation_by_node.get(update.node, -1) < update.incarnation
+            if admin_by_node.get(update.node) != update.admin
         ]
         log.event("entries restored", found=len(updates), written=len(missing))
         return await directory.write_all(missing)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -63,6 +63,18 @@
         await world.settle()
 
 
+# Guards against writes for all nodes after each restore, since their members' incarnations change
+# when the store goes and comes while their entries do not.
+async def test_entries_that_the_copy_has_are_not_written_again(world):
+    copy = world.store.copy()
+    await take_store_away(world)
+    world.store.restore(copy)
+    world.store.status = 200
+    await wait_until(lambda: not any(followers_without_store(world)))
+    await asyncio.sleep(1.0)
+    assert world.store.calls.count("tx") == len(world.hosts)
+
+
 # Guards against lost entries that nobody writes again, since the nodes that followed the store
 # before are gone and the others did not hear of its era.
 async def test_node_that_begins_to_follow_notices_that_the_store_was_restored(world):
