A low limit is used again although no load report renews it

Seen: from reading the change. A sender takes a limit to admit more with the time since the gate's last frame; pongs are frames, so with a limit below some 0.2 a second and nothing else from that gate it never admitted, and callers were refused as instance_limited though one request was allowed. Why this works: routes tell when the last load report arrived, and that counts. Evidence: the test of placement failed (9 s to wait after 10 s) and passes.

--- a/peridottrack/balancer.py
+++ b/peridottrack/balancer.py
@@ -231,9 +231,10 @@
         if stated.rate_limit is not None and stated.rate_limit != view.named_rate_limit:
             log.event("upstream limited", instance=instance, per_s=finite(stated.rate_limit))
             view.set_rate_limit(stated.rate_limit, self.callers)
-        if stated.leaving:
+        now = self._clock.now()
+        if stated.leaving and now >= view.leaving_until:
             log.event("upstream leaving", instance=instance)
-            view.leaving_until = self._clock.now() + LEAVING_S
+            view.leaving_until = now + LEAVING_S
 
     def all_leave(self) -> bool:
         """Return whether all instances have said that they leave."""
--- a/peridottrack/gateroute.py
+++ b/peridottrack/gateroute.py
@@ -29,6 +29,11 @@
         """When the last message of the gate was received, by this node's clock."""
         ...
 
+    @property
+    def load_received_at(self) -> float:
+        """When the last load report was received, by this node's clock."""
+        ...
+
     @property
     def usable(self) -> bool:
         """Whether requests can be sent now."""
@@ -74,6 +79,11 @@
         """The current time, as the load is always current."""
         return self._clock.now()
 
+    @property
+    def load_received_at(self) -> float:
+        """The current time, as the load is always current."""
+        return self._clock.now()
+
     @property
     def usable(self) -> bool:
         """Always True: the gate is in this process."""
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -90,7 +90,7 @@
         self._sent_at_by_number: dict[int, float] = {}
         self._on_hedge_hint_by_number: dict[int, OnHedgeHint] = {}
         self.load: GateLoad | None = None
-        self.received_at = float("-inf")
+        self.received_at = self.load_received_at = float("-inf")
         self._pinged_at = float("-inf")
         self._ticked_at = float("-inf")
         self._last_ping_number = 0
@@ -217,9 +217,9 @@
         """Handle a frame from the peer."""
         self.received_at = self._clock.now()
         if isinstance(frame, GateLoad):
-            self.load = frame
+            self._set_load(frame)
         elif isinstance(frame, InstanceResponse | Refusal):
-            self.load = frame.load
+            self._set_load(frame.load)
             waiter = self._remove_request(frame.number)
             if waiter is not None and not waiter.done():
                 waiter.set_result(frame)
@@ -228,6 +228,9 @@
         elif isinstance(frame, DocumentFrame):
             self.hooks.on_document(frame)
 
+    def _set_load(self, load: GateLoad) -> None:
+        self.load, self.load_received_at = load, self.received_at
+
     def _remove_request(self, number: int) -> asyncio.Future[Outcome] | None:
         self._sent_at_by_number.pop(number, None)
         self._on_hedge_hint_by_number.pop(number, None)
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -209,7 +209,7 @@
     """Return the seconds until the instance's rate limit admits a request sent now."""
     if not math.isfinite(load.rate_limit):
         return 0.0
-    admitted_since = max(0.0, now - route.received_at) * load.rate_limit
+    admitted_since = max(0.0, now - route.load_received_at) * load.rate_limit
     admissible = min(burst_of(load.rate_limit), load.admissible + admitted_since)
     return token_wait_s(admissible - route.sent_since_report(), load.rate_limit)
 
--- a/peridottrack/ratelimit.py
+++ b/peridottrack/ratelimit.py
@@ -13,8 +13,6 @@
 """Smallest burst in requests: a bucket that holds less never admits one."""
 MAX_WAIT_S = 60.0
 """Longest wait that is reported; an instance that takes no requests has an endless one."""
-
-
 MIN_SHARED_PER_S = 0.5
 """Rate that nodes without a gate share at least: only a response tells them that a limit ended."""
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -33,6 +33,7 @@
     waiting: int = 0
     domain: str = "a"
     received_at: float = 0.0
+    load_received_at: float = 0.0
     usable: bool = True
     frames: list = field(default_factory=list)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -22,6 +22,7 @@
     load: GateLoad | None
     domain: str = "a"
     received_at: float = 0.0
+    load_received_at: float = 0.0
     usable: bool = True
     unreported: int = 0
 
@@ -61,6 +62,14 @@
     assert chosen(placement, routes) == "limited"
 
 
+# Guards against a low limit that nobody uses, since each pong made its last report look recent.
+def test_low_rate_limit_admits_again_although_frames_without_a_report_arrive(placement, clock):
+    limited = Route(gate("limited", rate_limit=0.1, admissible=0.0))
+    clock.advance(10.0)
+    limited.received_at = clock.now()
+    assert placement.choose([limited], RUN_S, TARGET_S).wait_s == 0.0
+
+
 def test_wait_for_a_rate_limit_counts_the_requests_that_wait_already(placement):
     choice = placement.choose([Route(gate("i", rate_limit=2.0, admissible=-3.0))], RUN_S, TARGET_S)
     assert (choice.wait_s, choice.rate_limited) == (2.0, True)
