--- a/peridottrack/controllers/load.py
+++ b/peridottrack/controllers/load.py
@@ -123,6 +123,9 @@
     def check_queue_wait(self, call: Call) -> None:
         """Reject a call that would wait past its deadline.
 
+        While the rate limits of all instances hold calls back, no free slot would let a call start,
+        so the refusal names the limit even if the queue's own estimate is the longer one.
+
         Raises
         ------
         RequestError
@@ -131,12 +134,13 @@
         service = self.service_by_name.get(call.service)
         if service is None or service.balancer.all_leave():
             raise RequestError(ErrorKind.NO_INSTANCE)
-        wait_s = service.queue.wait_estimate_s()
-        if wait_s and self._clock.now() + wait_s > call.deadline:
-            raise RequestError(ErrorKind.TOO_LATE, "The queue is too long for its deadline.")
+        queue_wait_s = service.queue.wait_estimate_s()
         rate_wait_s = service.balancer.rate_wait_s(len(service.queue))
-        if self._clock.now() + rate_wait_s > call.deadline:
+        if self._clock.now() + max(queue_wait_s, rate_wait_s) <= call.deadline:
+            return
+        if rate_wait_s > 0:
             raise RequestError(ErrorKind.INSTANCE_LIMITED)
+        raise RequestError(ErrorKind.TOO_LATE, "The queue is too long for its deadline.")
 
     async def acquire(self, call: Call) -> Attempt:
         """Take a slot of an instance; wait in the service's queue if none is free."""
