--- a/peridottrack/admin.py
+++ b/peridottrack/admin.py
@@ -18,9 +18,9 @@
 from peridottrack.controllers.members import MembersController
 from peridottrack.journal import JournalClaimStore
 from peridottrack.metrics import Metrics
-from peridottrack.revisions import DocumentHead
+from peridottrack.revisions import DocumentHead, decode_head_value
 from peridottrack.shards import JournalEntry
-from peridottrack.types import InstanceId, NodeId, SectionName
+from peridottrack.types import InstanceId, NodeId
 
 PEER_TIMEOUT_S = 1.0
 """Timeout of a call to another node."""
@@ -62,11 +62,9 @@
         )
 
     async def post_document(request: web.Request) -> web.Response:
-        known_versions = {
-            SectionName(name): version for name, version in (await request.json()).items()
-        }
+        known_head = decode_head_value(await request.read())
         return web.Response(
-            body=document.changes_for_peer(known_versions), content_type="application/json"
+            body=document.changes_for_peer(known_head), content_type="application/json"
         )
 
     app = web.Application(client_max_size=MAX_CONTROL_BODY_BYTES)
@@ -136,7 +134,7 @@
         url = f"http://{endpoint}/document"
         try:
             async with self._session.post(
-                url, json=known_head.version_by_section, timeout=self._timeout
+                url, data=known_head.encode(), timeout=self._timeout
             ) as response:
                 return await response.read() if response.status == 200 else None
         except (aiohttp.ClientError, TimeoutError):
--- a/peridottrack/controllers/document.py
+++ b/peridottrack/controllers/document.py
@@ -16,7 +16,8 @@
 from peridottrack.document import Document, SectionConfig, check_document, section_from_data
 from peridottrack.exceptions import InvalidDocument, StoreUnavailable
 from peridottrack.metrics import Metrics
-from peridottrack.revisions import DocumentHead, read_head, read_revision
+from peridottrack.restoredtable import is_restored, write_back
+from peridottrack.revisions import DocumentHead, decode_head_value, read_head, read_revision
 from peridottrack.types import Clock, NodeId, Random, SectionName, TableStore
 
 FETCH_JITTER_S = 0.1
@@ -99,8 +100,12 @@
 
     async def poll(self) -> bool:
         """Poll the table once; return whether it answered."""
+        # A peer may send a newer document while the table is read, which is no sign of a restore.
+        held = self.snapshot
         try:
             head = await read_head(self._table)
+            if is_restored(held.head, head):
+                head = await self._write_back(held, head)
             if head.version > self.version and head.version != self._rejected_version:
                 await self._read_sections(head)
         except StoreUnavailable:
@@ -110,6 +115,20 @@
         self._confirmed_at = self._clock.now()
         return True
 
+    async def _write_back(self, held: DocumentSnapshot, head: DocumentHead) -> DocumentHead:
+        """Write what the restored table has lost; return its head afterwards."""
+        written = await write_back(
+            self._table, held.head, held.data_by_section, head, self._clock.wall()
+        )
+        log.event(
+            "table restored",
+            version=held.head.version,
+            found_version=head.version,
+            written=sorted(written.restored),
+            replaced=sorted(written.replaced),
+        )
+        return await read_head(self._table)
+
     async def fetch_from_peers(self, nodes: list[NodeId]) -> None:
         """Load the newest document of a few peers, for a start while the table is unavailable."""
         for node in nodes[:MAX_START_PEERS]:
@@ -122,20 +141,15 @@
         if self._fetch_task is None or self._fetch_task.done():
             self._fetch_task = asyncio.ensure_future(self._fetch_after_jitter(node))
 
-    def changes_for_peer(self, known_versions: dict[SectionName, int]) -> bytes:
-        """Return the head and the sections that differ from a peer's versions, as JSON."""
+    def changes_for_peer(self, known_head: DocumentHead) -> bytes:
+        """Return the head and the sections that differ from a peer's, as JSON."""
         head = self.snapshot.head
         changed = {
             name: self.snapshot.data_by_section[name]
-            for name, version in head.version_by_section.items()
-            if known_versions.get(name) != version
-        }
-        reply = {
-            "version": head.version,
-            "sections": head.version_by_section,
-            "changed": changed,
+            for name in head.version_by_section
+            if not head.has_same_revision(known_head, name)
         }
-        return json.dumps(reply).encode()
+        return json.dumps({"head": head.encode().decode(), "changed": changed}).encode()
 
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -157,13 +171,12 @@
         if body is None:
             return False
         reply = json.loads(body)
-        versions = {SectionName(name): number for name, number in reply["sections"].items()}
-        return self._adopt(DocumentHead(reply["version"], versions), reply["changed"])
+        return self._adopt(decode_head_value(reply["head"].encode()), reply["changed"])
 
     async def _read_sections(self, head: DocumentHead) -> None:
         changed = {}
         for name, version in head.version_by_section.items():
-            if self.snapshot.head.version_by_section.get(name) == version:
+            if self.snapshot.head.has_same_revision(head, name):
                 continue
             revision = await read_revision(self._table, name, version)
             if revision is None:
@@ -195,7 +208,7 @@
             if name in changed:
                 data_by_section[name] = changed[name]
                 config_by_section[name] = section_from_data(changed[name], name)
-            elif self.snapshot.head.version_by_section[name] != version:
+            elif not self.snapshot.head.has_same_revision(head, name):
                 raise KeyError(f"section {name} version {version} was not sent")
             else:
                 data_by_section[name] = self.snapshot.data_by_section[name]
--- a/peridottrack/revisions.py
+++ b/peridottrack/revisions.py
@@ -1,8 +1,11 @@
 """The document in the platform's table: reads it, accepts new versions of sections, lists history.
 
-One row, the head, names the current version of each section; the version of the head row is the
-version of the document. Each accepted section is an immutable row. Accepting writes both rows in
-one transaction, so a reader of the head finds exactly the sections that were validated together.
+One row, the head, names the current version of each section and the version of the document.
+Each accepted section is an immutable row. Accepting writes both rows in one transaction, so a
+reader of the head finds exactly the sections that were validated together.
+
+The head also names the writers of each section's last versions. A table that was restored from an
+older copy may give out a version number again; its writer tells the two revisions apart.
 """
 
 from __future__ import annotations
@@ -32,6 +35,7 @@
     Write,
     WriteAction,
     WriteOutcome,
+    WriterId,
 )
 
 PARTITION = "document"
@@ -40,6 +44,10 @@
 ACCEPT_PAUSE_S = 0.02
 
 
+MAX_WRITERS = 16
+"""Number of a section's last revisions whose writers the head names."""
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentHead:
     """Versions of the document and of its sections that are in force.
@@ -48,10 +56,46 @@
     ----------
     version
         Version of the document; 0 if there is none yet.
+    writers_by_section
+        Writer ids of the last revisions of each section, oldest first, at most `MAX_WRITERS`.
+    row_version
+        Version of the head's row, on which the next write of it is conditional.
     """
 
     version: int = 0
     version_by_section: dict[SectionName, int] = field(default_factory=dict)
+    writers_by_section: dict[SectionName, tuple[str, ...]] = field(default_factory=dict)
+    row_version: int = ABSENT_VERSION
+
+    def writer_of(self, section: SectionName) -> str:
+        """Return the writer of a section's current revision, empty if unknown."""
+        return self.writers_by_section.get(section, ("",))[-1]
+
+    def has_same_revision(self, other: DocumentHead, section: SectionName) -> bool:
+        """Return whether both heads name the same revision of a section."""
+        return self.version_by_section.get(section) == other.version_by_section.get(
+            section
+        ) and self.writer_of(section) == other.writer_of(section)
+
+    def encode(self) -> bytes:
+        """Serialize the head as the value of its row."""
+        return json.dumps(
+            {
+                "version": self.version,
+                "sections": self.version_by_section,
+                "writers": self.writers_by_section,
+            }
+        ).encode()
+
+    def with_revision(self, section: SectionName, version: int, writer: WriterId) -> DocumentHead:
+        """Return the next head, with a new revision of one section."""
+        writers = (*self.writers_by_section.get(section, ()), writer)[-MAX_WRITERS:]
+        return DocumentHead(
+            self.version + 1,
+            {**self.version_by_section, section: version},
+            {**self.writers_by_section, section: writers},
+            self.row_version,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,11 +138,18 @@
 
 def decode_head(row: Row | None) -> DocumentHead:
     """Deserialize the head row."""
-    if row is None:
-        return DocumentHead()
-    sections = json.loads(row.value)["sections"]
+    return decode_head_value(row.value, row.version) if row is not None else DocumentHead()
+
+
+def decode_head_value(value: bytes, row_version: int = ABSENT_VERSION) -> DocumentHead:
+    """Deserialize what `DocumentHead.encode` returned."""
+    data = json.loads(value)
     return DocumentHead(
-        row.version, {SectionName(name): version for name, version in sections.items()}
+        # Rows of an earlier release name neither.
+        data.get("version", row_version),
+        {SectionName(name): version for name, version in data["sections"].items()},
+        {SectionName(name): tuple(ids) for name, ids in data.get("writers", {}).items()},
+        row_version,
     )
 
 
@@ -200,18 +251,14 @@
 
 async def _write(table: TableStore, head: DocumentHead, revision: Revision) -> bool:
     """Write revision and head; return False if another section was accepted first."""
-    versions = {**head.version_by_section, revision.section: revision.version}
+    writer = new_writer_id()
+    next_head = head.with_revision(revision.section, revision.version, writer)
     revision_row_key = revision_key(revision.section, revision.version)
     writes = [
         Write(WriteAction.PUT, revision_row_key, ABSENT_VERSION, revision.encode()),
-        Write(
-            WriteAction.PUT,
-            HEAD_KEY,
-            head.version,
-            json.dumps({"sections": versions}).encode(),
-        ),
+        Write(WriteAction.PUT, HEAD_KEY, head.row_version, next_head.encode()),
     ]
-    settled = await transact_settled(table, writes, revision_row_key, new_writer_id())
+    settled = await transact_settled(table, writes, revision_row_key, writer)
     if settled.outcome is WriteOutcome.APPLIED:
         return True
     if settled.outcome is WriteOutcome.CONFLICT:
