Soak: a seed fixes the faults that it plays, each broken node is found again

Cause: each fault drew its host and duration from one generator when its turn came, so what a seed played depended on how long the others took; rare kinds of fault were missing in most short runs. The node that repeats orders kept within the resend budget, which allows hardly any in a small site, so nothing showed. Change: the plan of a run (times, kinds, a seed for each fault) is drawn before it, in rounds that hold each kind; faults that exclude each other at a host wait. soak-checks plays five seeds of 20 s each for every broken node, and asks for more than half of them.

--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,8 @@
 soak-seeds: setup ## Play the seeds again that ever failed
 	cd tests && ../$(PY) -m soak --listed
 
-soak-checks: setup ## Check that the soak finds each broken node
-	cd tests && for name in $$(../$(PY) -m soak.broken --list); do ../$(PY) -m soak --quiet --seeds 5 --seed 1 --hosts 4 --seconds 10 --broken $$name || exit 1; done
+soak-checks: setup ## Check that the soak finds each broken node on more than half of five seeds
+	cd tests && ../$(PY) -m soak.broken --list | xargs -P 4 -I NAME ../$(PY) -m soak --quiet --seeds 5 --seed 1 --hosts 4 --seconds 20 --broken NAME
 
 counts: setup ## Count code, tests and the share of the decision logic
 	$(PY) -m bench.counts
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,7 +33,11 @@
     listed: bool,
     quiet: bool,
 ) -> None:
-    """Run seeds; exit with 1 if a guarantee was violated, 2 if a broken node was not detected."""
+    """Run seeds; exit with 1 if a guarantee was violated.
+
+    With --broken, exit with 2 unless the broken node was detected on more than half of the seeds: a
+    seed fixes the faults, but not which requests they meet.
+    """
     first = random.SystemRandom().randrange(1 << 30) if seed is None else seed
     log = (lambda line: None) if quiet else click.echo
     outcomes = []
@@ -46,9 +50,7 @@
             click.echo(
                 f"  logs: {folder}; read with: peridottrack explain REQUEST {folder}/*/log-*"
             )
-        if broken is not None and _exit_code(outcomes, broken) == 0:
-            break
-    sys.exit(_exit_code(outcomes, broken))
+    sys.exit(get_exit_code(outcomes, broken))
 
 
 def _failed_seeds() -> list[int]:
@@ -57,11 +59,17 @@
     return [int(line.partition(":")[0]) for line in lines]
 
 
-def _exit_code(outcomes: list[Outcome], broken: str | None) -> int:
-    violated = {violation.guarantee for outcome in outcomes for violation in outcome.violations}
+def get_exit_code(outcomes: list[Outcome], broken: str | None) -> int:
+    """Return the exit code of the command."""
     if broken is None:
-        return 1 if violated else 0
-    return 0 if GUARANTEES_BY_SWITCH[broken] & violated else 2
+        return 1 if any(outcome.violations for outcome in outcomes) else 0
+    expected = GUARANTEES_BY_SWITCH[broken]
+    found = sum(
+        any(violation.guarantee in expected for violation in outcome.violations)
+        for outcome in outcomes
+    )
+    click.echo(f"{broken}: found on {found} of {len(outcomes)} seeds")
+    return 0 if 2 * found > len(outcomes) else 2
 
 
 if __name__ == "__main__":
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -40,8 +40,9 @@
 
 
 def repeats_orders() -> None:
-    """Retry after a failure also the requests that must run at most once."""
+    """Retry after a failure also the requests that must run at most once, within no budget."""
     replace_method(forward.Forwarder, "_may_resend", lambda self, state: len(state.sent_to) < 3)
+    boundless_repeats()
 
 
 def false_not_run() -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import subprocess
 import sys
 import time
 from pathlib import Path
 
 import pytest
+from soak.__main__ import get_exit_code
 from soak.broken import GUARANTEES_BY_SWITCH, SWITCHES
-from soak.guarantees import LEAVE_GRACE_S, GuaranteeChecker, SentRequest
+from soak.faults import FAULTS, FaultInjector
+from soak.guarantees import LEAVE_GRACE_S, GuaranteeChecker, SentRequest, Violation
+from soak.plan import plan_faults
 from soak.proxy import Proxy, ProxyFault
-from soak.run import soak
+from soak.run import Outcome, soak
 from soak.site import NamedRateLimit, Site, SoakHost
 from users_platform import InstanceStandin, Run
 
+from peridottrack.clock import run_virtual
+
 CI_SEED = 7
 CI_HOSTS = 3
 CI_SECONDS = 5.0
@@ -199,3 +205,60 @@
 
 def test_each_broken_node_names_the_guarantees_it_violates():
     assert GUARANTEES_BY_SWITCH.keys() == SWITCHES.keys()
+
+
+def test_a_seed_fixes_the_faults_of_a_run():
+    plans = [plan_faults(random.Random(3), FAULTS, 40.0) for _ in range(2)]
+    assert plans[0] == plans[1] != plan_faults(random.Random(4), FAULTS, 40.0)
+
+
+def test_each_kind_of_fault_is_planned_once_before_any_is_planned_again():
+    kinds = [planned.kind for planned in plan_faults(random.Random(3), FAULTS, 60.0)]
+    assert len(kinds) > 2 * len(FAULTS)
+    for start in (0, len(FAULTS)):
+        assert sorted(kinds[start : start + len(FAULTS)]) == sorted(FAULTS)
+
+
+class ScriptedSite(Site):
+    """A site without processes, in which a restart of a node takes a given time."""
+
+    def __init__(self, folder: Path, hosts: int, restart_s: float) -> None:
+        super().__init__(folder)
+        self.restart_s = restart_s
+        for number in range(hosts):
+            proxies = [Proxy("127.0.0.1", 1) for _ in range(3)]
+            instance = InstanceStandin(f"i-{number}.1")
+            self.hosts.append(SoakHost(number, "127.0.0.1", folder, instance, *proxies))
+
+    async def stop_node(self, host: SoakHost, signal_number: int) -> int | None:
+        await asyncio.sleep(self.restart_s)
+        return 0
+
+    async def start_node(self, host: SoakHost) -> None:
+        await asyncio.sleep(self.restart_s)
+
+    def leave(self, host: SoakHost) -> None:
+        super().leave(host)
+        self.left_at[host.instance.name] = time.monotonic()
+
+
+def test_the_same_faults_are_injected_however_long_each_of_them_takes(tmp_path):
+    """What a fault draws must not depend on when it or another one starts or ends."""
+    injected = []
+    for restart_s in (0.01, 4.0):
+        site = ScriptedSite(tmp_path, 4, restart_s)
+        injector = FaultInjector(site, random.Random(5), lambda line: None)
+        run_virtual(injector.run(40.0))
+        injected.append(sorted(injector.injected))
+    assert injected[0] == injected[1]
+    assert len(injected[0]) > 2 * len(FAULTS)
+
+
+@pytest.mark.parametrize(("found", "exit_code"), [(3, 0), (2, 2)])
+def test_broken_node_must_be_found_on_more_than_half_of_the_seeds(found, exit_code):
+    violation = Violation("at most once", 0.0, "s1", "run again")
+    outcomes = [
+        Outcome(seed, 4, 20.0, 1, {}, 1, [violation] if seed < found else []) for seed in range(5)
+    ]
+    assert get_exit_code(outcomes, "repeats_orders") == exit_code
+    assert get_exit_code(outcomes, None) == 1
