Gate: an instance that resets connections at once is ejected for a short time

Load pattern: an instance that goes down and up by turns (srv_flap) accepts connections and resets them. It looks idle, so while the others of its service are full all nodes send there. Nothing closed the gate, since connections were accepted, and a node's own failure rate adds less to the cost than the queues of the others. Ruled out: closing as after refused connections: the next status report opens the gate at once. Change: three broken connections in a row, or half of the recent ones, each within a quarter of the usual run time, eject the instance for 0.2 to 1.6 s; a probe must be answered, then it gets one request at a time until two were answered. Later breaks do not count: answers lost after the work.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -105,7 +105,9 @@
     def __init__(self, endpoint: Endpoint, header_names: HeaderNames, clock: Clock) -> None:
         self.gate = Gate(clock)
         self.gate.on_rate_wait = self._start_queued_later
+        self.gate.on_ejected = self._probe_ejected_later
         self._start_timer: asyncio.TimerHandle | None = None
+        self._ejected_probe: asyncio.Task[None] | None = None
         self._stated_at = float("-inf")
         self._clock = clock
         self._header_names = header_names
@@ -150,6 +152,14 @@
             max(delay_s, MIN_START_DELAY_S), self.gate.start_queued
         )
 
+    def _probe_ejected_later(self, delay_s: float) -> None:
+        self._ejected_probe = asyncio.create_task(self._probe_ejected(delay_s))
+
+    async def _probe_ejected(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        health = await self.prober.probe() if self.prober is not None else None
+        self.gate.end_ejection(health is not None)
+
     async def run(self) -> None:
         """Ask an instance whether its rate limit still holds, until cancelled.
 
@@ -225,6 +235,7 @@
             self._refuse(pending, ErrorKind.UPSTREAM_UNREACHABLE, Ran.NO, str(error))
         except BrokeOff as error:
             self._schedule_crash_check(pending.frame)
+            self.gate.record_broken(pending.admission)
             self._refuse(pending, ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, str(error))
         except ResponseTooLarge as error:
             self._refuse(pending, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, str(error))
@@ -258,6 +269,7 @@
         finally:
             self.pool.release(connection)
         self._refused_connections = 0
+        self.gate.record_answered()
         return response
 
     def _request_bytes(self, frame: ForwardedRequest, left_s: float) -> bytes:
@@ -389,6 +401,8 @@
         """Close the idle connections."""
         if self._start_timer is not None:
             self._start_timer.cancel()
+        if self._ejected_probe is not None:
+            self._ejected_probe.cancel()
         self.pool.close()
 
 
--- a/peridottrack/ejection.py
+++ b/peridottrack/ejection.py
@@ -32,10 +32,20 @@
 
 
 class Ejection:
-    """The ejection state of one instance, as one node sees it."""
+    """The ejection state of one instance, as one node sees it.
 
-    def __init__(self, rng: Random) -> None:
+    Parameters
+    ----------
+    base_s, max_s
+        Seconds of the first ejection, and of the longest in a row.
+    """
+
+    def __init__(
+        self, rng: Random, base_s: float = BASE_EJECTION_S, max_s: float = MAX_EJECTION_S
+    ) -> None:
         self._rng = rng
+        self._base_s = base_s
+        self._max_s = max_s
         self.state = EjectionState.ACTIVE
         self.until = 0.0
         self._ejections_in_a_row = 0
@@ -98,9 +108,9 @@
         # A row of ejections ends when none followed within the maximum ejection time.
         if self.state is EjectionState.ACTIVE:
             self._ejections_in_a_row = (
-                0 if now > self.until + MAX_EJECTION_S else self._ejections_in_a_row
+                0 if now > self.until + self._max_s else self._ejections_in_a_row
             )
-        wait_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2**self._ejections_in_a_row)
+        wait_s = min(self._max_s, self._base_s * 2**self._ejections_in_a_row)
         self._ejections_in_a_row = min(self._ejections_in_a_row + 1, 10)
         self.until = now + wait_s * (0.75 + 0.5 * self._rng.random())
         self.state = EjectionState.EJECTED
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -115,6 +115,19 @@
     "the store does not tell of other nodes": Event(
         "The directory of nodes could not be read; the node retries.", {"error": "the error"}
     ),
+    "instance ejected": Event(
+        "The instance resets connections at once and gets no requests until a probe is answered.",
+        {
+            "instance": "the instance",
+            "pause_s": "seconds until the probe",
+            "running": "runs at that time",
+            "waiting": "queued requests, which are refused as not run",
+        },
+    ),
+    "instance returned": Event(
+        "An ejected instance has answered requests again, one at a time, and gets all again.",
+        {"instance": "the instance"},
+    ),
     "store restored": Event(
         "The store came back from an older copy: its positions start over, and what nodes wrote"
         " since is lost.",
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -13,11 +13,15 @@
 
 All requests of all nodes to an instance start here, so a rate limit that it names is enforced by
 one count, and requests beyond it are queued, declined or refused like those beyond its slots.
+
+An instance that resets connections at once looks idle, so it would draw the requests of its whole
+service. It is ejected for a short time, and then gets one request at a time until it answers.
 """
 
 from __future__ import annotations
 
 import math
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,6 +29,7 @@
 
 from peridottrack import log
 from peridottrack.concurrencylimit import ConcurrencyLimit
+from peridottrack.ejection import Ejection, EjectionState
 from peridottrack.frames import GateLoad
 from peridottrack.headernames import LoadFigures
 from peridottrack.ratelimit import RateLimit, finite
@@ -41,6 +46,12 @@
 """Maximum number of queued requests per slot; bounds memory."""
 START_WINDOW_S = 4.0
 """Time over which starts are counted for the log."""
+EJECTION_MIN_S = 0.2
+EJECTION_MAX_S = 1.6
+"""Seconds of the first ejection, and of the longest in a row: such instances return in seconds."""
+FAST_FAILURE_SHARE = 0.25
+"""Share of the usual run time within which a broken connection counts towards an ejection. Later
+ones may be answers that were lost after the work was done."""
 MAX_FIRST_RUNS = 4
 """Concurrent runs before the first response of an instance, which may name a rate limit."""
 
@@ -139,6 +150,8 @@
     on_rate_wait
         Called with the seconds after which `start_queued` must be called, since requests wait for
         the rate limit.
+    on_ejected
+        Called with the seconds after which the instance must be probed, and `end_ejection` called.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -152,9 +165,12 @@
         self._running: set[AdmissionRequest] = set()
         self._started_at: deque[float] = deque()
         self._rate_limit_logged_at = 0.0
+        self._ejection = _new_ejection()
+        self._running_before_trial = 0
         self.stopping = False
         self.on_change: Callable[[bool], None] = lambda urgent: None
         self.on_rate_wait: Callable[[float], None] = lambda delay_s: None
+        self.on_ejected: Callable[[float], None] = lambda delay_s: None
 
     # -- the instance ------------------------------------------------------------------
 
@@ -170,6 +186,7 @@
         if instance != self.local_instance.instance:
             self.close(Verdict.WRONG_INSTANCE)
             self.local_instance = LocalInstance(RateLimit(self._clock), instance, service)
+            self._ejection = _new_ejection()
         local = self.local_instance
         before = (local.state, local.slots, local.start_time)
         local.slots = slots
@@ -196,16 +213,64 @@
                 running=self.running,
                 waiting=self.waiting,
             )
+        self._refuse_queued(verdict)
+        self.on_change(True)
+
+    def _refuse_queued(self, verdict: Verdict) -> None:
         waiting, self._queue = self._queue, []
         for request in waiting:
             request.queued = False
             request.on_decision(verdict)
+
+    def record_broken(self, request: AdmissionRequest) -> None:
+        """Record that the connection of a running request ended without a response."""
+        run_s = self._clock.now() - request.started_at
+        if run_s >= FAST_FAILURE_SHARE * self.run_s(request.route):
+            return
+        if self._ejection.record_failure() and self._ejection.state is not EjectionState.EJECTED:
+            self._eject()
+
+    def record_answered(self) -> None:
+        """Record that the instance has answered a request."""
+        before = self._ejection.state
+        self._ejection.record_success()
+        if self._ejection.state is not before:
+            log.event("instance returned", instance=self.local_instance.instance)
+            self.on_change(True)
+
+    def _eject(self) -> None:
+        now = self._clock.now()
+        self._ejection.eject(now)
+        pause_s = self._ejection.until - now
+        log.event(
+            "instance ejected",
+            instance=self.local_instance.instance,
+            pause_s=round(pause_s, 3),
+            running=self.running,
+            waiting=self.waiting,
+        )
+        self._refuse_queued(Verdict.CLOSED)
         self.on_change(True)
+        self.on_ejected(pause_s)
+
+    def end_ejection(self, responds: bool) -> None:
+        """Accept one request at a time again if the instance responds, else eject it for longer."""
+        if self._ejection.state is not EjectionState.EJECTED:
+            return
+        if not responds:
+            self._eject()
+        elif self._ejection.allows(max(self._clock.now(), self._ejection.until)):
+            self._running_before_trial = self.running
+            self.on_change(True)
 
     @property
     def is_open(self) -> bool:
         """Whether new requests are accepted."""
-        return self.local_instance.state is GateState.OPEN and not self.stopping
+        return (
+            self.local_instance.state is GateState.OPEN
+            and not self.stopping
+            and self._ejection.state is not EjectionState.EJECTED
+        )
 
     @property
     def running(self) -> int:
@@ -220,7 +285,10 @@
     @property
     def limit(self) -> int:
         """Maximum number of concurrently running requests."""
-        return self.local_instance.concurrency_limit.limit(self.local_instance.slots)
+        limit = self.local_instance.concurrency_limit.limit(self.local_instance.slots)
+        if self._ejection.state is EjectionState.TRIAL:
+            return min(limit, self._running_before_trial + 1)
+        return limit
 
     def record_load(self, figures: LoadFigures) -> None:
         """Record a load report of the instance, with its number of slots."""
@@ -466,3 +534,7 @@
         request.running_at_start = self.running
         request.slowdown_at_start = self.slowdown()
         request.on_decision(Verdict.RUN)
+
+
+def _new_ejection() -> Ejection:
+    return Ejection(random.Random(), EJECTION_MIN_S, EJECTION_MAX_S)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -355,6 +355,105 @@
 test_gate_machine = GateMachine.TestCase
 
 
+def run_for(gate, clock, seconds, count=1):
+    """Run requests one after the other; each is answered."""
+    for _ in range(count):
+        request = make_request([])
+        gate.submit(request, "i-1")
+        clock.advance(seconds)
+        gate.record_answered()
+        gate.release(request, True)
+
+
+def break_runs(gate, clock, after_s, count):
+    """Start requests one after the other; return the verdicts. The connection of each breaks."""
+    log = []
+    for _ in range(count):
+        request = make_request(log)
+        gate.submit(request, "i-1")
+        if log[-1] is Verdict.RUN:
+            clock.advance(after_s)
+            gate.record_broken(request)
+            gate.release(request, False)
+    return log
+
+
+# Load pattern: an instance that resets connections at once looks idle, so it draws the requests of
+# its whole service, in particular while the others are full.
+def test_instance_that_resets_connections_at_once_is_ejected(gate, clock):
+    pauses = []
+    gate.on_ejected = pauses.append
+    run_for(gate, clock, 0.2)
+    verdicts = break_runs(gate, clock, 0.001, 10)
+    assert verdicts == [Verdict.RUN] * 3 + [Verdict.CLOSED] * 7
+    assert not gate.load().open
+    assert len(pauses) == 1 and 0 < pauses[0] < 0.5
+
+
+def test_ejected_instance_gets_one_request_at_a_time_until_it_answers(gate, clock):
+    pauses, log = [], []
+    gate.on_ejected = pauses.append
+    run_for(gate, clock, 0.2)
+    break_runs(gate, clock, 0.001, 3)
+    clock.advance(pauses[0])
+    gate.end_ejection(responds=False)
+    assert not gate.load().open and pauses[1] > pauses[0]
+    clock.advance(pauses[1])
+    gate.end_ejection(responds=True)
+    assert (gate.load().open, gate.load().limit) == (True, 1)
+    first, second = make_request(log), make_request(log)
+    gate.submit(first, "i-1")
+    gate.submit(second, "i-1")
+    assert log == [Verdict.RUN]
+    for request in (first, second):
+        clock.advance(0.2)
+        gate.record_answered()
+        gate.release(request, True)
+    assert (gate.load().limit, log) == (2, [Verdict.RUN] * 2)
+
+
+def test_instance_that_breaks_in_its_trial_is_ejected_for_longer(gate, clock):
+    pauses = []
+    gate.on_ejected = pauses.append
+    run_for(gate, clock, 0.2)
+    break_runs(gate, clock, 0.001, 3)
+    gate.end_ejection(responds=True)
+    assert break_runs(gate, clock, 0.001, 2) == [Verdict.RUN, Verdict.CLOSED]
+    assert pauses[1] > pauses[0]
+
+
+def test_queued_requests_of_an_ejected_instance_are_refused_as_not_run(gate, clock):
+    run_for(gate, clock, 0.2)
+    running, log = [make_request([]) for _ in range(2)], []
+    for request in running:
+        gate.submit(request, "i-1")
+    gate.submit(make_request(log), "i-1")
+    for request in running:
+        gate.record_broken(request)
+    gate.record_broken(running[0])
+    assert log == [Verdict.CLOSED]
+
+
+@pytest.mark.parametrize("after_s", [0.15, 0.2])
+def test_answers_that_are_lost_after_the_work_eject_no_instance(gate, clock, after_s):
+    run_for(gate, clock, 0.2)
+    assert break_runs(gate, clock, after_s, 10) == [Verdict.RUN] * 10
+
+
+def test_single_broken_connections_eject_no_instance(gate, clock):
+    run_for(gate, clock, 0.2)
+    for _ in range(10):
+        assert break_runs(gate, clock, 0.001, 2) == [Verdict.RUN] * 2
+        run_for(gate, clock, 0.2, count=6)
+
+
+def test_another_instance_at_the_gate_is_not_ejected(gate, clock):
+    run_for(gate, clock, 0.2)
+    break_runs(gate, clock, 0.001, 3)
+    gate.open("i-2", "katalog", 3, 0.0)
+    assert gate.load().open
+
+
 def test_runs_that_started_in_an_unreported_slow_period_are_notified(gate, clock):
     notified = []
     before, within = make_request([]), make_request([])
