--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -63,6 +63,7 @@
     decision: asyncio.Future[Verdict]
     admission: AdmissionRequest = field(init=False)
     sent: bool = False
+    is_unanswered: bool = False
 
     def __post_init__(self) -> None:
         frame = self.frame
@@ -235,7 +236,8 @@
             self._refuse(pending, ErrorKind.UPSTREAM_UNREACHABLE, Ran.NO, str(error))
         except BrokeOff as error:
             self._schedule_crash_check(pending.frame)
-            self.gate.record_broken(pending.admission)
+            if pending.is_unanswered:
+                self.gate.record_broken(pending.admission)
             self._refuse(pending, ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, str(error))
         except ResponseTooLarge as error:
             self._refuse(pending, ErrorKind.UPSTREAM_ANSWER_INVALID, Ran.UNKNOWN, str(error))
@@ -266,6 +268,9 @@
                 self._id_name,
                 frame.method == "HEAD",
             )
+        except BrokeOff:
+            pending.is_unanswered = connection.is_unanswered
+            raise
         finally:
             self.pool.release(connection)
         self._refused_connections = 0
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -223,7 +223,10 @@
             request.on_decision(verdict)
 
     def record_broken(self, request: AdmissionRequest) -> None:
-        """Record that the connection of a running request ended without a response."""
+        """Record that the new connection of a running request ended without a response.
+
+        Kept connections end for many other reasons, such as bytes that belong to no request.
+        """
         run_s = self._clock.now() - request.started_at
         if run_s >= FAST_FAILURE_SHARE * self.run_s(request.route):
             return
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -89,6 +89,11 @@
         self._is_complete = False
         self._framed = False
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the instance has not sent a byte on this connection, which had one request."""
+        return self.requests == 1 and self._received_bytes == 0
+
     # -- asyncio.BufferedProtocol ------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
