Nodes link to a part of the gates, and follow the store only once they have joined

Cause: each node had a link to each other, 38,000 at 196 hosts. Each starting node also took itself for a watcher of the store, since it knew no other: one feed call a start for nothing. Change: the service of a node is part of its membership; a node links to 8 gates of each service in its own failure domain and 4 in the others, evenly by a ring for each service, to more while these have no capacity (docs/DESIGN.md). Candidates for watchers keep links to each other. A document is requested over a link opened for it, crashes of instances are reported to all nodes. A starting node reads the document, and follows only when it has joined. Ruled out: a hash of node and gate (uneven), all links with fewer pings (memory, starts).

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import hashlib
+import heapq
 import zlib
 from collections.abc import Callable, Iterable
+from functools import lru_cache
 from typing import Any
 
 from peridottrack import log
@@ -21,6 +23,8 @@
 
 WATCHERS = 4
 """Nodes that follow the store: a change still spreads while three have lost it unnoticed."""
+CANDIDATES = 3 * WATCHERS
+"""Nodes that replace watchers that do not respond; they have links to each other to notice it."""
 STORE_RETRY_S = 1.0
 """Mean pause before a retry while the store is unavailable; only `WATCHERS` nodes retry."""
 START_WAIT_S = 1.2
@@ -31,17 +35,24 @@
 """Largest size of a decompressed document."""
 
 
+@lru_cache(maxsize=8_192)
 def watcher_rank(node: NodeId) -> bytes:
     """Return the sort key of watchers: the same on all nodes, and uniform over hosts."""
     return hashlib.blake2b(node.encode(), digest_size=8).digest()
 
 
+def select_candidates(members: Iterable[MemberUpdate]) -> list[MemberUpdate]:
+    """Return the members that may become watchers: those that follow the store first of all."""
+    return heapq.nsmallest(CANDIDATES, members, key=_watcher_key)
+
+
 def select_watchers(members: Iterable[MemberUpdate]) -> list[NodeId]:
     """Return the nodes that follow the store, preferring those that can reach it."""
-    ranked = sorted(
-        members, key=lambda update: (update.store_unavailable, watcher_rank(update.node))
-    )
-    return [update.node for update in ranked[:WATCHERS]]
+    return [update.node for update in heapq.nsmallest(WATCHERS, members, key=_watcher_key)]
+
+
+def _watcher_key(update: MemberUpdate) -> tuple[bool, bytes]:
+    return update.store_unavailable, watcher_rank(update.node)
 
 
 class DocumentFollowController:
@@ -50,7 +61,8 @@
     Parameters
     ----------
     active_members
-        Returns the members that respond to this node, including itself.
+        Returns the candidates for watchers that respond to this node, including itself if it is
+        one.
     set_store_unavailable
         Called with whether the store is unavailable.
     on_document
@@ -61,6 +73,8 @@
     ----------
     on_restored
         Called when the store was restored from an older copy.
+    knows_members
+        Returns whether the members are known, by which the watchers are selected.
     entered_era
         Returns the store's era when this node last wrote or read entries there, 0 if unknown.
     """
@@ -90,6 +104,7 @@
         self._store_unavailable = False
         self.on_restored: Callable[[], None] = lambda: None
         self.entered_era: Callable[[], int] = lambda: 0
+        self.knows_members: Callable[[], bool] = lambda: True
         self.table: RouteTable | None = None
         self.frame: DocumentFrame | None = None
 
@@ -135,7 +150,9 @@
             is_watcher = self._local_node in select_watchers(self._active_members())
             # A node that got no document from the others reads the store itself.
             overdue = self.table is None and self._clock.now() - started_at > START_WAIT_S
-            if not is_watcher and not overdue:
+            # A starting node knows no other and would be a watcher: it reads, but does not follow.
+            too_early = bool(self._position) and not self.knows_members()
+            if too_early or not is_watcher and not overdue:
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 continue
             following = asyncio.create_task(self._follow_once())
--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -1,12 +1,14 @@
-"""This node's links to the gates of the other members, and its load reports to them."""
+"""This node's links to the gates of other members, and its load reports to them."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 
 from peridottrack.frames import DocumentFrame, DocumentRequest, GateLoad, Hello
 from peridottrack.gateroute import GateRoute, LocalRoute
+from peridottrack.gatesubset import GateSubset
 from peridottrack.link import TICK_S, Link, LinkHooks
 from peridottrack.linkserver import LinkServer
 from peridottrack.messages import MemberUpdate
@@ -22,24 +24,41 @@
 """Size of the headers of a TCP packet."""
 MAX_REPORT_PEERS = 32
 """Largest number of nodes that a report is sent to: those with the most recent requests."""
+NARROW_CHECK_S = 1.0
+"""Interval at which links that are no longer needed are looked for."""
+FIRST_LOAD_TIMEOUT_S = 0.1
+"""Longest wait for the first load report of links that were opened for a waiting request: some
+round trips to the farthest failure domain."""
+NEVER = float("-inf")
+DOCUMENT_LINK_S = 2.0
+"""Time for which a link that is opened for a document only is kept."""
 
 
 class LinksController:
-    """Opens a link to each member and reports the local gate's load to the others."""
+    """Opens links to the selected members and reports the local gate's load to others."""
 
     def __init__(
         self,
         make_hello: Callable[[], Hello],
+        subset: GateSubset,
         local_route: LocalRoute,
         server: LinkServer,
         hooks: LinkHooks,
         clock: Clock,
     ) -> None:
         self._make_hello = make_hello
+        self._subset = subset
         self._local_route = local_route
         self._server = server
         self._hooks = hooks
         self._clock = clock
+        self._update_by_node: dict[NodeId, MemberUpdate] = {}
+        self._watchers: frozenset[NodeId] = frozenset()
+        # Until when a node is linked to request its document.
+        self._document_until_by_node: dict[NodeId, float] = {}
+        self._first_load = asyncio.Event()
+        self._widened_at_by_service: dict[ServiceName, float] = {}
+        self._narrow_checked_at = clock.now()
         self._link_by_node: dict[NodeId, Link] = {}
         self._task_by_node: dict[NodeId, asyncio.Task[None]] = {}
         self._incarnation_by_node: dict[NodeId, int] = {}
@@ -49,14 +68,30 @@
         self._allowance = float(REPORT_BYTES_PER_S)
         self._allowance_updated_at = clock.now()
 
-    def set_members(self, members: Iterable[MemberUpdate]) -> None:
+    def set_members(self, members: Iterable[MemberUpdate], watchers: Iterable[NodeId] = ()) -> None:
         """Open links to new members and close those to removed members.
 
+        Parameters
+        ----------
+        watchers
+            Nodes whose responsiveness must be known whether or not requests are sent to them.
+        """
+        self._update_by_node = {update.node: update for update in members}
+        self._update_by_node.pop(self._make_hello().node, None)
+        self._watchers = frozenset(watchers)
+        self._subset.set_members(self._update_by_node.values())
+        self._select()
+
+    def _select(self) -> None:
+        """Open and close links so that those of the selected members are open.
+
         A link that responds is closed only once it has no request in flight, since a node may be
         removed because of its datagrams alone.
         """
-        update_by_node = {update.node: update for update in members}
-        update_by_node.pop(self._make_hello().node, None)
+        selected = self._subset.selected() | self._watchers | self._document_until_by_node.keys()
+        update_by_node = {
+            node: update for node, update in self._update_by_node.items() if node in selected
+        }
         for node in list(self._link_by_node):
             if node not in update_by_node:
                 removed = self._link_by_node.pop(node)
@@ -66,6 +101,7 @@
             link = self._link_by_node.get(node)
             if link is None:
                 link = Link(update.admin, update.domain, self._make_hello, self._hooks, self._clock)
+                link.on_first_load = self._first_load.set
                 self._link_by_node[node] = link
                 self._task_by_node[node] = asyncio.create_task(link.run())
             elif self._incarnation_by_node.get(node) != update.incarnation:
@@ -85,14 +121,56 @@
             for link in (*self._link_by_node.values(), *self._task_by_removed_link):
                 link.tick(now)
             self._close_removed()
+            if now - self._narrow_checked_at > NARROW_CHECK_S:
+                self._narrow(now)
+
+    def _narrow(self, now: float) -> None:
+        """Close the links that were opened for a need that has passed."""
+        self._narrow_checked_at = now
+        expired = [node for node, until in self._document_until_by_node.items() if until < now]
+        for node in expired:
+            del self._document_until_by_node[node]
+        if self._subset.narrow() or expired:
+            self._select()
 
     def is_responsive(self, node: NodeId) -> bool:
-        """Return whether a node responds; known long before the membership removes the node."""
+        """Return whether a node responds; known long before the membership removes the node.
+
+        Of a node without a link only the membership tells.
+        """
         link = self._link_by_node.get(node)
-        return link is not None and link.usable
+        return link.usable if link is not None else node in self._update_by_node
+
+    def widen(self, service: ServiceName, urgent: bool) -> bool:
+        """Link to more gates of a service since its linked ones have no capacity.
+
+        Parameters
+        ----------
+        urgent
+            Whether a request will be refused otherwise.
+
+        Returns
+        -------
+        bool
+            Whether links were opened so recently that their first load reports may still arrive.
+        """
+        now = self._clock.now()
+        if self._subset.widen(service, urgent):
+            self._select()
+            self._widened_at_by_service[service] = now
+        return now - self._widened_at_by_service.get(service, NEVER) < FIRST_LOAD_TIMEOUT_S
+
+    async def wait_for_first_load(self) -> None:
+        """Wait until a link that is being opened has reported a load, for a short time at most."""
+        self._first_load.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LOAD_TIMEOUT_S):
+                await self._first_load.wait()
 
     def routes_of(self, service: ServiceName) -> list[GateRoute]:
-        """Return the routes to the gates of a service."""
+        """Return the routes to the linked gates of a service."""
+        if self._subset.use(service):
+            self._select()
         routes: list[GateRoute] = []
         local_load = self._local_route.load
         if local_load is not None and local_load.service == service:
@@ -107,6 +185,10 @@
         link = self._link_by_node.get(node)
         if link is not None:
             link.send(DocumentRequest(known_version))
+        elif node in self._update_by_node:
+            # The peer answers the hello of a new link with its document if that is newer.
+            self._document_until_by_node[node] = self._clock.now() + DOCUMENT_LINK_S
+            self._select()
 
     def send_document(self, frame: DocumentFrame) -> None:
         """Send a new document to the nodes that sent requests last; others learn its version."""
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -50,7 +50,6 @@
 
 PARTITION = "member"
 JOIN_RETRY_S = 1.0
-MAX_CRASH_RECIPIENTS = 32
 MEMBERSHIP_BODIES = (Rumor, Ping, Ack, PingRequest, BucketDigests, Pull)
 OnNewerVersion = Callable[[NodeId, int], None]
 """Called with a node and the version of its document if that is newer than the local one."""
@@ -265,17 +264,6 @@
         local_node = self.membership.local_member.node
         return [update for update in self.membership.active_members() if update.node != local_node]
 
-    def crash_recipients(self) -> list[NodeId]:
-        """Return the nodes to send crash reports to.
-
-        All others; in a large cluster `MAX_CRASH_RECIPIENTS` in a row from a random position.
-        """
-        nodes = [update.node for update in self.peers()]
-        if len(nodes) <= MAX_CRASH_RECIPIENTS:
-            return nodes
-        start = self._rng.randrange(len(nodes))
-        return [nodes[(start + step) % len(nodes)] for step in range(MAX_CRASH_RECIPIENTS)]
-
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
@@ -346,6 +334,7 @@
         "admin": str(update.admin),
         "domain": update.domain,
         "region": update.region,
+        "service": update.service,
         "instances": [
             {
                 "id": instance.instance_id,
@@ -383,6 +372,8 @@
         domain,
         Region(data["region"]),
         instances,
+        # Entries of nodes without a gate, and of an earlier release, name none.
+        service=ServiceName(data.get("service", "")),
     )
 
 
--- a/peridottrack/controllers/poison.py
+++ b/peridottrack/controllers/poison.py
@@ -25,8 +25,9 @@
         message = Message(
             self._members.membership.local_member.node, CrashReport(fingerprint, instance)
         )
-        for peer in self._members.crash_recipients():
-            self._datagrams.send(peer, message)
+        # To all nodes, since any of them may be the next to get the request. Crashes are rare.
+        for peer in self._members.peers():
+            self._datagrams.send(peer.node, message)
 
     def _handle_report(self, message: Message) -> None:
         assert isinstance(message.body, CrashReport)
--- a/peridottrack/datagramcodec.py
+++ b/peridottrack/datagramcodec.py
@@ -200,6 +200,7 @@
     target.domain = update.domain
     target.region = update.region
     target.storeAway = update.store_unavailable
+    target.service = update.service
     instances = target.init("instances", len(update.instances))
     for index, instance in enumerate(update.instances):
         _write_instance(instances[index], instance)
@@ -218,6 +219,7 @@
         Region(source.region),
         tuple(_read_instance(instance, domain) for instance in source.instances),
         source.storeAway,
+        ServiceName(source.service),
     )
 
 
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from peridottrack import forwardlog, log
 from peridottrack.callerdeadlines import CallerDeadlines
@@ -42,7 +42,25 @@
 MIN_FAILURE_STATUS = 500
 """Lowest status that counts as a failure of the instance."""
 
-ServiceRoutes = Callable[[ServiceName], Iterable[GateRoute]]
+MAX_WIDENINGS = 2
+"""Maximum number of times that one request waits for more gates before it is refused: what cannot
+be served is to be refused at once."""
+
+
+class GateRoutes(Protocol):
+    """The routes to gates that a node has, and a way to more of them."""
+
+    def routes_of(self, service: ServiceName) -> Iterable[GateRoute]:
+        """Return the routes to the gates of a service."""
+        ...
+
+    def widen(self, service: ServiceName, urgent: bool) -> bool:
+        """Ask for more gates of a service; return whether some may be available soon."""
+        ...
+
+    async def wait_for_first_load(self) -> None:
+        """Wait until another gate is available, for a short time at most."""
+        ...
 
 
 class Forwarder:
@@ -52,8 +70,8 @@
     ----------
     table
         Returns the current routes, None until a document has arrived.
-    routes_of
-        Returns the connections to the gates of a service.
+    gates
+        The connections to the gates of each service.
     poison
         Counts crashes per request; quarantined requests are rejected.
     make_resend_budget
@@ -65,7 +83,7 @@
     def __init__(
         self,
         table: Callable[[], RouteTable | None],
-        routes_of: ServiceRoutes,
+        gates: GateRoutes,
         placement: Placement,
         poison: PoisonList,
         make_resend_budget: Callable[[], ResendBudget],
@@ -76,7 +94,7 @@
         metrics: Metrics,
     ) -> None:
         self._table = table
-        self._routes_of = routes_of
+        self._gates = gates
         self._placement = placement
         self._poison = poison
         self._make_resend_budget = make_resend_budget
@@ -208,7 +226,7 @@
         budget = self.resend_budget_of(state.service)
         first_send_recorded = False
         for _ in range(MAX_SENDS):
-            choice = self._choose(state)
+            choice = await self._choose_or_widen(state)
             if choice is None:
                 break
             # An instance that shed the request did not run it, so it is not in sent_to; sending it
@@ -237,6 +255,18 @@
         enough_time = left_s > self._run_s(route)
         return route.idempotent and enough_time and len(state.sent_to) < route.attempts
 
+    async def _choose_or_widen(self, state: ForwardState) -> Choice | None:
+        """Choose a gate; if none can serve the request in time, wait for more of them."""
+        choice = self._choose(state)
+        for _ in range(MAX_WIDENINGS):
+            if choice is not None or not self._gates.widen(state.service, urgent=True):
+                break
+            await self._gates.wait_for_first_load()
+            choice = self._choose(state)
+        if choice is not None and choice.wait_s > 0:
+            self._gates.widen(state.service, urgent=False)
+        return choice
+
     def _choose(self, state: ForwardState) -> Choice | None:
         run_s = self._run_s(state.route)
         choice = self._choose_gate(state, run_s)
@@ -255,7 +285,7 @@
     def _choose_gate(self, state: ForwardState, run_s: float) -> Choice | None:
         exclude = state.refused_by.union(state.sent_to)
         choose, target_s = self._placement.choose, state.route.target_s
-        routes = self._routes_of(state.service)
+        routes = list(self._gates.routes_of(state.service))
         choice = None
         if len(state.declined_by) < MAX_DECLINES:
             choice = choose(routes, run_s, target_s, exclude | state.declined_by)
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -66,11 +66,17 @@
 
 
 def _ignore() -> None:
-    """Stand in for the callback of a request that has ended."""
+    """Stand in for a callback that is not set, or whose request has ended."""
 
 
 class Link:
-    """The connection to one other node's gate; reconnects by itself."""
+    """The connection to one other node's gate; reconnects by itself.
+
+    Attributes
+    ----------
+    on_first_load
+        Called when the first load report after a connection was received.
+    """
 
     def __init__(
         self,
@@ -90,6 +96,7 @@
         self._sent_at_by_number: dict[int, float] = {}
         self._on_hedge_hint_by_number: dict[int, OnHedgeHint] = {}
         self.load: GateLoad | None = None
+        self.on_first_load: Callable[[], None] = _ignore
         self.received_at = self.load_received_at = float("-inf")
         self._pinged_at = float("-inf")
         self._ticked_at = float("-inf")
@@ -229,7 +236,10 @@
             self.hooks.on_document(frame)
 
     def _set_load(self, load: GateLoad) -> None:
+        is_first = self.load is None
         self.load, self.load_received_at = load, self.received_at
+        if is_first:
+            self.on_first_load()
 
     def _remove_request(self, number: int) -> asyncio.Future[Outcome] | None:
         self._sent_at_by_number.pop(number, None)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -18,7 +18,10 @@
 from peridottrack import log
 from peridottrack.clock import LoopClock
 from peridottrack.config import MeshSettings, parse_endpoint
-from peridottrack.controllers.follow import DocumentFollowController
+from peridottrack.controllers.follow import (
+    DocumentFollowController,
+    select_candidates,
+)
 from peridottrack.controllers.gate import GateController
 from peridottrack.controllers.links import LinksController
 from peridottrack.controllers.localinstance import LocalInstanceController
@@ -32,6 +35,7 @@
 from peridottrack.forward import Forwarder
 from peridottrack.frames import DocumentFrame, Hello
 from peridottrack.gateroute import LocalRoute
+from peridottrack.gatesubset import GateSubset
 from peridottrack.headernames import HeaderNames
 from peridottrack.ingress import Ingress
 from peridottrack.link import LinkHooks
@@ -145,6 +149,7 @@
         self._restoring: asyncio.Task[None] | None = None
         self._runners: list[web.BaseRunner] = []
         self._leaving = False
+        self._joined = False
         self._unready_checks = 0
         self._last_unready_check_at = 0.0
         self._started_at = 0.0
@@ -271,6 +276,7 @@
         domain = FailureDomain(settings.failure_domain)
         self.store_session = self._adapter.session()
         local_member = self._local_member()
+        self._watcher_candidates = [local_member]
         self.datagrams = DatagramTransport(
             DatagramSigner(settings.message_keys, local_member.node, local_member.incarnation),
             self.metrics,
@@ -301,25 +307,29 @@
             local_member.node,
             source,
             self._adapter.document_reader(),
-            self._responsive_members,
+            self._responsive_candidates,
             self.members.set_store_unavailable,
             self._apply_document,
             clock,
             rng,
         )
         self.document_follower.on_restored = self._restore_entries
+        self.document_follower.knows_members = self._knows_members
         self.document_follower.entered_era = lambda: self._directory.era
         hooks = LinkHooks(lambda: self.document_follower.frame, self.document_follower.apply_frame)
         self.link_server = LinkServer(self.gate_controller, hooks, clock)
         local_route = LocalRoute(self.gate_controller, domain, clock)
-        self.links = LinksController(self._hello, local_route, self.link_server, hooks, clock)
+        subset = GateSubset(local_member.node, domain, clock)
+        self.links = LinksController(
+            self._hello, subset, local_route, self.link_server, hooks, clock
+        )
         self.gate_controller.gate.on_change = self.links.report_load
         self.poison = PoisonList(clock, CRASHES_TO_QUARANTINE)
         PoisonController(self.poison, self.members, self.datagrams)
         self.gate_controller.on_crash = self.poison.record_local_crash
         self.forwarder = Forwarder(
             lambda: self.document_follower.table,
-            self.links.routes_of,
+            self.links,
             Placement(domain, clock, rng),
             self.poison,
             self._create_resend_budget,
@@ -345,6 +355,7 @@
             self._advertised_link(),
             FailureDomain(self.settings.failure_domain),
             Region(self.settings.region),
+            service=ServiceName(self.settings.service),
         )
 
     def _advertised_link(self) -> Endpoint:
@@ -369,24 +380,32 @@
 
     # -- callbacks of the components ----------------------------------------------------
 
-    def _responsive_members(self) -> list[MemberUpdate]:
-        """Return this node and the members whose links respond; shortly after a start, all members.
+    def _responsive_candidates(self) -> list[MemberUpdate]:
+        """Return the candidates for watchers whose links respond; shortly after a start, all.
 
         The nodes that follow the store and send the document to the others are selected from them.
+        Only candidates have links to all other candidates.
         """
-        active = self.members.membership.active_members()
         if self._clock.now() - self._started_at < LINK_STARTUP_S:
-            return active
+            return self._watcher_candidates
         local_node = self.members.membership.local_member.node
         return [
             update
-            for update in active
+            for update in self._watcher_candidates
             if update.node == local_node or self.links.is_responsive(update.node)
         ]
 
+    def _knows_members(self) -> bool:
+        """Return whether this node has joined, or has had time to learn of others by gossip."""
+        return self._joined or self._clock.now() - self._started_at > LINK_STARTUP_S
+
     def _update_members(self, view: ClusterView) -> None:
         self.forwarder.nodes = view.node_count
-        self.links.set_members(self.members.membership.active_members())
+        members = self.members.membership.active_members()
+        self._watcher_candidates = select_candidates(members)
+        candidates = [update.node for update in self._watcher_candidates]
+        is_candidate = self.members.membership.local_member.node in candidates
+        self.links.set_members(members, candidates if is_candidate else ())
 
     def _record_peer_version(self, node: NodeId, version: int) -> None:
         if version > self.document_follower.version:
@@ -424,6 +443,7 @@
 
     async def _join(self) -> None:
         await self._retry(self.members.join_once)
+        self._joined = True
 
     def _restore_entries(self) -> None:
         """Write the entries of nodes that the restored store has lost, in the background."""
--- a/peridottrack/messages.capnp
+++ b/peridottrack/messages.capnp
@@ -27,6 +27,7 @@
   region @5 :Text;
   instances @6 :List(InstanceInfo);
   storeAway @7 :Bool;  # store_unavailable
+  service @8 :Text;  # of the instance behind the gate
 }
 
 struct LoadEntry {
--- a/peridottrack/messages.py
+++ b/peridottrack/messages.py
@@ -6,7 +6,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from peridottrack.types import Endpoint, FailureDomain, Instance, InstanceId, NodeId, Region
+from peridottrack.types import (
+    Endpoint,
+    FailureDomain,
+    Instance,
+    InstanceId,
+    NodeId,
+    Region,
+    ServiceName,
+)
 
 
 class MemberState(Enum):
@@ -29,6 +37,8 @@
         Set by the node itself; increases with each restart and each change.
     store_unavailable
         Whether the node's last call to the platform's store got no answer.
+    service
+        Service of the instance behind the node's gate; empty on a node without a gate.
     """
 
     node: NodeId
@@ -39,6 +49,7 @@
     region: Region
     instances: tuple[Instance, ...] = ()
     store_unavailable: bool = False
+    service: ServiceName = ServiceName("")
 
     def supersedes(self, other: MemberUpdate) -> bool:
         """Return whether this update takes precedence over another of the same node."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -10,6 +10,8 @@
 from users_platform import DOCUMENT, document_bytes
 from yarl import URL
 
+from peridottrack import gatesubset
+from peridottrack.controllers import follow
 from peridottrack.headernames import LoadFigures
 from peridottrack.runtimes import RunTime
 from peridottrack.types import InstanceId, ServiceName
@@ -576,3 +578,95 @@
     assert not host.node.gate_controller.gate.is_open
     assert await host.announce(world.session, "ready", sequence=1, born=5_000) == 200
     assert host.node.gate_controller.gate.is_open
+
+
+async def test_instance_that_resets_connections_at_once_gets_few_requests(world):
+    """It answers immediately, so that it looks idle beside one that is full."""
+    for host in world.hosts:
+        host.instance.script.work_s = 0.2
+    await asyncio.gather(*(world.call(world.hosts[number % 2]) for number in range(8)))
+    broken, healthy = world.hosts
+    broken.instance.script.work_s = 0.0
+    broken.instance.script.lose = 10_000
+    healthy.instance.script.load = "17,0,18,100"
+    broken_before = len(broken.instance.runs)
+    calls = []
+    for number in range(100):
+        calls.append(asyncio.create_task(world.call(world.hosts[number % 2])))
+        await asyncio.sleep(0.01)
+    statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+    assert len(broken.instance.runs) - broken_before < 25
+    assert statuses.count(200) > 85
+    broken.instance.script.lose = 0
+    await wait_until(lambda: broken.node.gate_controller.gate.is_open)
+
+
+@pytest.mark.parametrize("fault", ["double", "late_double", "garbage"])
+async def test_instance_that_sends_wrong_bytes_is_not_ejected(world, fault):
+    """It works; leaving it out would only shift its requests to the others."""
+    open_only(world, 0)
+    host = world.hosts[0]
+    host.instance.script.work_s = 0.2
+    await asyncio.gather(*(world.call(host) for _ in range(4)))
+    host.instance.script.work_s = 0.0
+    setattr(host.instance.script, fault, 12)
+    for _ in range(12):
+        await world.call(host)
+        assert host.node.gate_controller.gate.is_open
+
+
+@pytest.fixture
+async def apart(monkeypatch):
+    """Five hosts, of which each links to the next one only."""
+    monkeypatch.setattr(gatesubset, "LINK_ALL_BELOW", 0)
+    monkeypatch.setattr(gatesubset, "NEAR_GATES", 1)
+    monkeypatch.setattr(gatesubset, "FAR_GATES", 0)
+    monkeypatch.setattr(gatesubset, "WIDENING_STEP", 1)
+    monkeypatch.setattr(follow, "WATCHERS", 1)
+    monkeypatch.setattr(follow, "CANDIDATES", 1)
+    environment = World()
+    environment.settled_routes = 2
+    await environment.start(5)
+    hosts = environment.hosts
+    await wait_until(lambda: all(len(host.node.members.peers()) == 4 for host in hosts))
+    # Links that were opened at the start, to get the document, are closed again.
+    await wait_until(lambda: all(len(linked(host)) == 1 for host in hosts))
+    yield environment
+    await environment.stop()
+
+
+def linked(host):
+    return host.node.links.last_loads().keys()
+
+
+async def test_document_reaches_nodes_that_have_no_link_to_its_reader(apart):
+    apart.store.put("op", "config", document_bytes(version=9))
+    await wait_until(lambda: all(host.node.document_follower.version == 9 for host in apart.hosts))
+    await wait_until(lambda: all(len(linked(host)) == 1 for host in apart.hosts))
+
+
+async def test_request_finds_the_only_open_gate_although_it_is_not_linked(apart):
+    caller = apart.hosts[0]
+    unlinked = next(
+        number
+        for number, host in enumerate(apart.hosts)
+        if host is not caller and host.node.settings.gossip_address not in linked(caller)
+    )
+    open_only(apart, unlinked)
+    await wait_until(
+        lambda: not any(route.load.open for route in routes(caller) if route.load.instance)
+    )
+    statuses = []
+    async with asyncio.timeout(10):
+        while not statuses or statuses[-1] != 200:
+            statuses.append((await apart.call(caller))[0])
+    assert set(statuses) <= {200, 503}
+    assert len(apart.hosts[unlinked].instance.runs) == statuses.count(200)
+
+
+async def test_crash_of_an_instance_is_known_to_nodes_without_a_link_to_it(apart):
+    for host in apart.hosts[1:4]:
+        host.node.poison.record_local_crash("digest", InstanceId(host.instance.name))
+    await wait_until(
+        lambda: all(host.node.poison.crash_count("digest") == 3 for host in apart.hosts)
+    )
