Gate subset: a service that shrinks while links are replaced no longer ends in an error

Cause, found by reading: the position of the replaced links was taken modulo the number of gates that are not linked yet, which is 0 once the service has shrunk to its usual gates; the request that asked for more gates would have failed with ZeroDivisionError and been answered 502. Change: the gates of a service are one type that knows how many are usual and spare; nothing more is asked for when all are linked.

--- a/peridottrack/gatesubset.py
+++ b/peridottrack/gatesubset.py
@@ -48,6 +48,41 @@
 """Number of other nodes up to which a node links to all of them."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Gates:
+    """The gates of a service in the own failure domain and in the others.
+
+    Both are in the order in which they follow this node on their ring.
+    """
+
+    near: list[NodeId]
+    far: list[NodeId]
+
+    @property
+    def usual_near(self) -> int:
+        """Number of near gates that are linked without need."""
+        return min(len(self.near), NEAR_GATES)
+
+    @property
+    def usual_far(self) -> int:
+        """Number of far gates that are linked without need; they also replace missing near ones."""
+        return min(len(self.far), FAR_GATES + NEAR_GATES - self.usual_near)
+
+    @property
+    def spare(self) -> int:
+        """Number of gates that are linked under need only."""
+        return len(self.near) + len(self.far) - self.usual_near - self.usual_far
+
+    def selected(self, demand: _Demand) -> list[NodeId]:
+        """Return the gates to link to."""
+        # Near and far by turns: if the linked near ones are full, so may be the whole domain.
+        pairs = zip_longest(self.near[self.usual_near :], self.far[self.usual_far :])
+        spare = [gate for pair in pairs for gate in pair if gate is not None]
+        spare = spare[demand.skipped :] + spare[: demand.skipped]
+        usual = [*self.near[: self.usual_near], *self.far[: self.usual_far]]
+        return usual + spare[: demand.extra]
+
+
 @dataclass(slots=True)
 class _Demand:
     """How many gates of a service are needed.
@@ -84,7 +119,7 @@
         self._others: list[MemberUpdate] = []
         # Nodes of an earlier release, which do not name their service, are all linked.
         self._unnamed: set[NodeId] = set()
-        self._gates_by_service: dict[ServiceName, tuple[list[NodeId], list[NodeId]]] = {}
+        self._gates_by_service: dict[ServiceName, _Gates] = {}
 
     def set_members(self, members: Iterable[MemberUpdate]) -> None:
         """Set the active nodes, with or without this one."""
@@ -99,7 +134,7 @@
             gates[update.service].append(update.node)
         neighbours = [update.node for update in self._others if update.domain == self._domain]
         self._gates_by_service = {
-            service: (
+            service: _Gates(
                 self._following(service, near[service], neighbours),
                 self._following(service, far[service], neighbours),
             )
@@ -139,10 +174,8 @@
         """
         demand, now = self._demand_by_service[service], self._clock.now()
         demand.needed_at = now
-        near, far = self._gates_by_service.get(service, ([], []))
-        gates = len(near) + len(far)
-        usual = min(len(near), NEAR_GATES) + min(len(far), self._usual_far(near))
-        if self._links_all or usual + demand.extra >= gates and not demand.skipped:
+        gates = self._gates_by_service.get(service)
+        if self._links_all or gates is None or demand.extra >= gates.spare:
             return False
         grows = demand.extra < MAX_EXTRA_GATES
         if not grows and not urgent:
@@ -154,7 +187,7 @@
         if grows:
             demand.extra += WIDENING_STEP
         else:
-            demand.skipped = (demand.skipped + WIDENING_STEP) % (gates - usual)
+            demand.skipped = (demand.skipped + WIDENING_STEP) % gates.spare
         return True
 
     def narrow(self) -> bool:
@@ -176,30 +209,16 @@
         now = self._clock.now()
         chosen = set(self._unnamed)
         few_services = len(self._gates_by_service) <= MAX_UNUSED_SERVICES
-        for service, (near, far) in self._gates_by_service.items():
+        for service, gates in self._gates_by_service.items():
             demand = self._demand_by_service[service]
             if few_services or self._is_used(demand, now):
-                chosen.update(self._window(near, far, demand))
+                chosen.update(gates.selected(demand))
         return chosen
 
     @property
     def _links_all(self) -> bool:
         return len(self._others) <= LINK_ALL_BELOW
 
-    def _usual_far(self, near: Sequence[NodeId]) -> int:
-        """Return the number of gates in other domains, which also replace missing near ones."""
-        return FAR_GATES + max(0, NEAR_GATES - len(near))
-
-    def _window(
-        self, near: Sequence[NodeId], far: Sequence[NodeId], demand: _Demand
-    ) -> list[NodeId]:
-        far_count = self._usual_far(near)
-        # Near and far by turns: if the linked near ones are full, so may be the whole domain.
-        pairs = zip_longest(near[NEAR_GATES:], far[far_count:])
-        rest = [gate for pair in pairs for gate in pair if gate is not None]
-        rest = rest[demand.skipped :] + rest[: demand.skipped]
-        return [*near[:NEAR_GATES], *far[:far_count], *rest[: demand.extra]]
-
     @staticmethod
     def _is_used(demand: _Demand, now: float) -> bool:
         return now - demand.used_at < USED_FOR_S
--- a/tests/test_gatesubset.py
+++ b/tests/test_gatesubset.py
@@ -258,3 +258,16 @@
     members = [*fleet(100), *unnamed]
     selected = subset_of(members[0], members).selected()
     assert {update.node for update in unnamed} <= selected
+
+
+# Guards against a failed division when a service shrinks while links are being replaced.
+def test_need_goes_on_while_the_service_shrinks_to_its_usual_gates(subset, clock):
+    widen_for(subset, clock, 10, urgent=True)
+    members = fleet(1_100)
+    stock = [update for update in members if update.service == "stock"]
+    for remaining in (40, NEAR_GATES, 1):
+        subset.set_members([members[0], *stock[1 : 1 + remaining], *members[len(stock) :]])
+        clock.advance(REPLACEMENT_INTERVAL_S)
+        subset.widen("stock", urgent=True)
+        selected = {update.node for update in stock} & subset.selected()
+        assert min(remaining, NEAR_GATES) <= len(selected) <= remaining
