Links: a link that is no longer needed is closed only after its last request

Cause, found by reading: a link whose peer did not respond for half a second was closed with its requests in flight, as that of a removed member, also when only the need for it had passed; an order on it would have been answered 502. Change: the link to a node that is still a member waits for its requests; a dead peer ends them after two seconds, as before.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -62,8 +62,9 @@
         self._link_by_node: dict[NodeId, Link] = {}
         self._task_by_node: dict[NodeId, asyncio.Task[None]] = {}
         self._incarnation_by_node: dict[NodeId, int] = {}
-        # Links of removed members that get no new requests.
+        # Links that get no new requests, of removed members and of those no longer selected.
         self._task_by_removed_link: dict[Link, asyncio.Task[None]] = {}
+        self._node_by_removed_link: dict[Link, NodeId] = {}
         self._report_scheduled = False
         self._allowance = float(REPORT_BYTES_PER_S)
         self._allowance_updated_at = clock.now()
@@ -86,7 +87,7 @@
         """Open and close links so that those of the selected members are open.
 
         A link that responds is closed only once it has no request in flight, since a node may be
-        removed because of its datagrams alone.
+        removed because of its datagrams alone. That of a member is never closed before.
         """
         selected = self._subset.selected() | self._watchers | self._document_until_by_node.keys()
         update_by_node = {
@@ -96,6 +97,7 @@
             if node not in update_by_node:
                 removed = self._link_by_node.pop(node)
                 self._task_by_removed_link[removed] = self._task_by_node.pop(node)
+                self._node_by_removed_link[removed] = node
         self._close_removed()
         for node, update in update_by_node.items():
             link = self._link_by_node.get(node)
@@ -110,8 +112,10 @@
 
     def _close_removed(self) -> None:
         for link in list(self._task_by_removed_link):
-            if not link.usable or not link.in_flight:
+            is_member = self._node_by_removed_link[link] in self._update_by_node
+            if not link.in_flight or not (is_member or link.usable):
                 self._task_by_removed_link.pop(link).cancel()
+                del self._node_by_removed_link[link]
 
     async def run(self) -> None:
         """Tick all links until cancelled; one timer for all costs less than one for each."""
