--- a/peridottrack/debug.py
+++ b/peridottrack/debug.py
@@ -17,8 +17,8 @@
     """Keep garbage collection from delaying calls.
 
     Objects that exist after the start live as long as the process, so the collector need not scan
-    them, not even once: that would take a tenth of the start. Calls create few cycles, so that rare
-    collections cost little memory.
+    them, not even once at the start. Calls create few cycles, so that rare collections cost little
+    memory.
     """
     gc.freeze()
     gc.enable()
