--- a/peridottrack/cmdline.py
+++ b/peridottrack/cmdline.py
@@ -241,7 +241,7 @@
 def _skip_certificates() -> None:
     """Keep `aiohttp` from loading the certificates of public authorities when it is imported.
 
-    Loading them takes processor time at each start, and a plain HTTP address of the store needs none.
+    Loading them takes time at each start, and a plain HTTP address of the store needs none.
     """
     os.environ.update(SSL_CERT_FILE=os.devnull, SSL_CERT_DIR=os.devnull)
 
