--- /dev/null
+++ b/review/3/play.py
@@ -0,0 +1,98 @@
+"""The machines that follow the store are cut off from it while the configuration changes."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+
+from standins import Instance, Machine, World, document, main  # noqa: E402
+
+CONFIG_S = 2.0  # bounds.config_s
+CUT_S = 6.0  # node_cut for_s; sites: 5.5 to 12
+CUT_COUNT = 4  # of 12 machines; node_cut share 0.35 rounds down to 4
+WAIT_S = 0.3  # from the cut to the change
+GAP_S = 0.1  # between two requests of the clients of one machine
+SERVICES = ("katalog", "siparis", "sertifika", "parti")
+
+
+def configuration(version: int, orders_go_to: str) -> bytes:
+    routes = [
+        ["order", "/order/", "non_idempotent", 2, 0.4, 2, orders_go_to],
+        ["stock", "/stock/", "idempotent", 2, 0.3, 2, "katalog"],
+    ]
+    return document(version, routes, list(SERVICES))
+
+
+async def play(world: World, trouble: bool) -> int:
+    record = world.record
+    await world.store.start("127.0.0.1")
+    world.store.put("op", "config", configuration(3, "siparis"))
+    for service in SERVICES:
+        for zone in ("a", "b", "c"):
+            await world.add(Instance(f"i-{service}-{zone}", service, record), zone)
+    last_read_at: dict[str, float] = {}
+    for name, proxy in world.proxies.items():
+
+        def note(data: bytes, name: str = name) -> None:
+            last_read_at[name] = record.now()
+
+        proxy.on_request = note
+    await world.start_all()
+    sent: dict[str, tuple[float, Machine]] = {}
+
+    async def clients(machine: Machine) -> None:
+        while True:
+            world.spawn(one(machine))
+            await asyncio.sleep(GAP_S)
+
+    async def one(machine: Machine) -> None:
+        now = record.now()
+        request_id, _ = await world.request(machine, "POST", "/order/1", b"12 m")
+        sent[request_id] = (now, machine)
+
+    for machine in world.machines:
+        world.spawn(clients(machine))
+    await asyncio.sleep(4)
+
+    cut: set[str] = set()
+    if trouble:
+        # Those that read the platform's list last, as the bench's variant `reader` picks them.
+        readers = sorted(last_read_at, key=lambda name: -last_read_at[name])
+        cut = set(readers[:CUT_COUNT])
+        for name in cut:
+            world.proxies[name].cut()
+        record("cut off from the store", machines=sorted(cut))
+    await asyncio.sleep(WAIT_S)
+    world.store.put("op", "config", configuration(5, "parti"))
+    acknowledged_at = record.now()
+    record("configuration acknowledged", version=5, orders_go_to="parti")
+    await asyncio.sleep(CUT_S - WAIT_S)
+    for proxy in world.proxies.values():
+        proxy.heal()
+    record("cut healed")
+    await asyncio.sleep(3)
+
+    machine_by_instance = {machine.instance.name: machine for machine in world.machines}
+    stale = []
+    for machine in world.machines:
+        if machine.instance.service != "siparis" or machine.name in cut:
+            continue
+        for request_id, at in machine.instance.runs:
+            sent_at, sender = sent.get(request_id, (0.0, machine))
+            if sent_at > acknowledged_at + CONFIG_S and sender.name not in cut:
+                stale.append((sent_at - acknowledged_at, request_id, sender.name, machine.name))
+    stale.sort()
+    for after_s, request_id, sender, gate in stale[:3] + stale[-3:]:
+        record("run by the old service", id=request_id, sent_after_s=round(after_s, 2), by=sender)
+    record("bound", at=round(acknowledged_at + CONFIG_S, 3), stale_runs=len(stale))
+    for name in machine_by_instance:
+        log = machine_by_instance[name].log_path.read_text().splitlines()
+        for line in log:
+            if '"version": 5' in line or '"store lost"' in line:
+                record("log", machine=name, line=line)
+    print(f"requests sent after config_s and run by the old service: {len(stale)}")
+    return 1 if stale else 0
+
+
+main(str(Path(__file__).parent), play)
