--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -268,6 +268,8 @@
     ----------
     runs
         Request id and time of each request that it ran.
+    ended
+        When each of these runs ended or was dropped, by request id.
     state
         ``ready``, ``draining`` or ``gone``.
     """
@@ -284,7 +286,7 @@
         self.state = "ready"
         self.sequence = 0
         self.runs: list[tuple[str, float]] = []
-        self.cut: list[str] = []
+        self.ended: dict[str, float] = {}
         self.running = 0
         self.waiting = 0
         self.zone = ""
@@ -398,6 +400,7 @@
             await self._work(request_id, reader)
         finally:
             self.running -= 1
+            self.ended[request_id] = self.record.now()
         if self.state == "draining":
             headers["Connection"] = "close"
         headers["Response-Signature"] = f"{self.name}.{request_id}"
@@ -408,7 +411,6 @@
         end = time.monotonic() + self.work_s
         while (left_s := end - time.monotonic()) > 0:
             if reader.at_eof():
-                self.cut.append(request_id)
                 self.record("run dropped", id=request_id, at=self.name)
                 raise ConnectionResetError
             await asyncio.sleep(min(left_s, 0.02))
