--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -268,6 +268,10 @@
     ----------
     runs
         Request id and time of each request that it ran.
+    crash_path
+        Path of a request that crashes the instance; empty for none.
+    crashes
+        Request id and time of each crash.
     ended
         When each of these runs ended or was dropped, by request id.
     state
@@ -287,6 +291,8 @@
         self.sequence = 0
         self.runs: list[tuple[str, float]] = []
         self.ended: dict[str, float] = {}
+        self.crash_path = ""
+        self.crashes: list[tuple[str, float]] = []
         self.running = 0
         self.waiting = 0
         self.zone = ""
@@ -309,6 +315,23 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def crash(self, request_id: str, down_s: float = 2.0) -> None:
+        """End at once, and start again under the same id some seconds later, knowing nothing."""
+        self.crashes.append((request_id, self.record.now()))
+        self.record("instance crashed", at=self.name, by=request_id, running=self.running)
+        self.stop()
+
+        async def start_again() -> None:
+            await asyncio.sleep(down_s)
+            self.state, self.sequence, self.born = "ready", 0, int(time.time() * 1000)
+            await self.start(self.address)
+            self.record("instance started again", at=self.name, born=self.born)
+            await self.beats()
+
+        task = asyncio.create_task(start_again())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def beat_body(self) -> bytes:
         """Return the body of the next heartbeat."""
         self.sequence += 1
@@ -395,6 +418,9 @@
         self.record(
             "run", id=request_id, at=self.name, service=self.service, bytes=len(request.body)
         )
+        if self.crash_path and path == self.crash_path:
+            self.crash(request_id)
+            return None
         self.running += 1
         try:
             await self._work(request_id, reader)
