--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,4 +1,4 @@
-"""The machines that follow the store are cut off from it while the configuration changes."""
+"""An instance has deregistered; its node is killed; an earlier heartbeat arrives late."""
 
 import asyncio
 import sys
@@ -8,102 +8,85 @@
 
 from standins import Instance, Machine, World, document, main  # noqa: E402
 
-CONFIG_S = 2.0  # bounds.config_s
-CUT_S = 6.0  # node_cut for_s; sites: 5.5 to 12
-CUT_COUNT = 4  # of 12 machines; node_cut share 0.35 rounds down to 4
-WAIT_S = 0.3  # from the cut to the change
-CALM_S = 5.0  # from the end of a cut to the next one
-GAP_S = 0.1  # between two requests of the clients of one machine
-SERVICES = ("katalog", "siparis", "sertifika", "parti")
-
-
-def configuration(version: int, orders_go_to: str) -> bytes:
-    routes = [
-        ["order", "/order/", "non_idempotent", 2, 0.4, 2, orders_go_to],
-        ["stock", "/stock/", "idempotent", 2, 0.3, 2, "katalog"],
-    ]
-    return document(version, routes, list(SERVICES))
+DRAIN_S = 2.0  # bounds.drain_s
+TOUCH_S = 3.0  # bounds.touch_s
+LATE_S = 3.5  # how late the heartbeat is: "seconds"
+STAY_S = 12.0  # how long the instance goes on serving: "at times many seconds"; sites: 15
+DOWN_S = 1.0  # how long the killed process is down; sites: 3.5
+GAP_S = 0.05  # between two requests of the clients of one machine
 
 
 async def play(world: World, trouble: bool) -> int:
     record = world.record
     await world.store.start("127.0.0.1")
-    world.store.put("op", "config", configuration(3, "siparis"))
-    for service in SERVICES:
+    routes = [
+        ["order", "/order/", "non_idempotent", 2, 0.4, 2, "siparis"],
+        ["stock", "/stock/", "idempotent", 2, 0.3, 2, "katalog"],
+    ]
+    world.store.put("op", "config", document(3, routes, ["siparis", "katalog"]))
+    for service in ("siparis", "katalog"):
         for zone in ("a", "b", "c"):
             await world.add(Instance(f"i-{service}-{zone}", service, record), zone)
-    last_read_at: dict[str, float] = {}
-    for name, proxy in world.proxies.items():
-
-        def note(data: bytes, name: str = name) -> None:
-            last_read_at[name] = record.now()
-
-        proxy.on_request = note
     await world.start_all()
-    sent: dict[str, tuple[float, Machine]] = {}
+    leaver = world.machines[0]
+    instance = leaver.instance
+    sent_at: dict[str, tuple[float, Machine]] = {}
+    unready = False
 
     async def clients(machine: Machine) -> None:
         while True:
-            world.spawn(one(machine))
+            if not (unready and machine is leaver):
+                world.spawn(one(machine))
             await asyncio.sleep(GAP_S)
 
     async def one(machine: Machine) -> None:
         now = record.now()
         request_id, _ = await world.request(machine, "POST", "/order/1", b"12 m")
-        sent[request_id] = (now, machine)
+        sent_at[request_id] = (now, machine)
 
     for machine in world.machines:
         world.spawn(clients(machine))
-    await asyncio.sleep(4)
-
-    changes: list[tuple[float, str, set[str]]] = []
-    for number, orders_go_to in enumerate(("parti", "siparis", "parti", "siparis")):
-        cut: set[str] = set()
-        if trouble:
-            # Those that read the platform's list last, as the bench's variant `reader` picks them.
-            readers = sorted(last_read_at, key=lambda name: -last_read_at[name])
-            cut.update(readers[:CUT_COUNT])
-            for name in cut:
-                world.proxies[name].cut()
-            record("cut off from the store", machines=sorted(cut))
-        await asyncio.sleep(WAIT_S)
-        world.store.put("op", "config", configuration(5 + 2 * number, orders_go_to))
-        changes.append((record.now(), orders_go_to, cut))
-        record("configuration acknowledged", version=5 + 2 * number, orders_go_to=orders_go_to)
-        await asyncio.sleep(CUT_S - WAIT_S)
-        for proxy in world.proxies.values():
-            proxy.heal()
-        record("cuts healed")
-        # The rounds fall differently into the waiting times of the calls to the store.
-        await asyncio.sleep(CALM_S + 0.6 * number)
-
-    machine_by_name = {machine.name: machine for machine in world.machines}
-    stale = 0
-    for number, (acknowledged_at, _, cut) in enumerate(changes):
-        old_service = changes[number - 1][1] if number else "siparis"
-        end = changes[number + 1][0] if number + 1 < len(changes) else record.now()
-        for machine in world.machines:
-            # A machine that is cut off in this round isn't judged; one of the last round is in touch
-            # again, since the calm is longer than touch_s.
-            if machine.instance.service != old_service or machine.name in cut:
-                continue
-            for request_id, _ in machine.instance.runs:
-                sent_at, sender = sent.get(request_id, (0.0, machine))
-                if acknowledged_at + CONFIG_S < sent_at < end and sender.name not in cut:
-                    stale += 1
-                    record(
-                        "run by the old service",
-                        id=request_id,
-                        sent_after_s=round(sent_at - acknowledged_at, 2),
-                        by=sender.name,
-                        at=machine.name,
-                    )
-    for name, machine in machine_by_name.items():
-        for line in machine.log_path.read_text().splitlines():
-            if '"document in force"' in line or '"store lost"' in line:
-                record("log", machine=name, line=line)
-    print(f"requests sent after config_s and run by the old service: {stale}")
-    return 1 if stale else 0
+    await asyncio.sleep(3)
+
+    late_beat = instance.beat_body()
+    record("heartbeat sent, it will be late", at=instance.name, sequence=instance.sequence)
+    await asyncio.sleep(0.2)
+    status = await instance.deregister()
+    acknowledged_at = record.now()
+    record("deregistered", at=instance.name, status=status)
+    if status != 200:
+        return 2
+    restarted_at = float("-inf")
+    if trouble:
+        await asyncio.sleep(0.3)
+        unready = True
+        await leaver.kill()
+        await asyncio.sleep(DOWN_S)
+        await leaver.start()
+        restarted_at = record.now()
+        while not await leaver.ready():
+            await asyncio.sleep(0.1)
+        unready = False
+    await asyncio.sleep(max(0.0, acknowledged_at + LATE_S - record.now()))
+    status = await instance.beat(late_beat)
+    record("late heartbeat delivered", status=status)
+    await asyncio.sleep(max(0.0, acknowledged_at + STAY_S - record.now()))
+    instance.stop()
+    record("instance ended", at=instance.name)
+    await asyncio.sleep(3)
+
+    bound = max(acknowledged_at + DRAIN_S, restarted_at + TOUCH_S)
+    late = [
+        (request_id, at)
+        for request_id, at in instance.runs
+        if at > bound and sent_at.get(request_id, (0.0, leaver))[0] > bound
+    ]
+    machines = {sent_at[request_id][1].name for request_id, _ in late if request_id in sent_at}
+    record("bound", at=round(bound, 3), late_runs=len(late), sent_on_by=sorted(machines))
+    for request_id, at in late[:5]:
+        record("late run", id=request_id, after_ack_s=round(at - acknowledged_at, 2))
+    print(f"runs later than drain_s after the acknowledgement, by machines in touch: {len(late)}")
+    return 1 if late else 0
 
 
 main(str(Path(__file__).parent), play)
