Review: the cut of case 5 ends connections as unanswered keep-alive probes would

Cause: a proxy answers the probes of the processes under test, so that a cut looked longer than it would be.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -28,6 +28,8 @@
 BOUNDS = {"grace_s": 6, "budget_ratio": 0.2, "budget_slack": 60, "budget_window_s": 10}
 MEMORY_MB = 300
 HEARTBEAT_S = 1.5
+PROBE_S = 1.0  # keep-alive of the processes under test: a probe each second,
+KEEPALIVE_S = 3.0  # and the end of the connection after two that aren't answered
 HOST = "shop.example"
 
 
@@ -207,7 +209,9 @@
 class Proxy:
     """Passes the connections of one machine on to an address; may cut the machine off silently.
 
-    While it is cut, bytes are held back and connections hang, as behind a partition.
+    While it is cut, bytes are held back and connections hang, as behind a partition. The keep-alive
+    probes of a process are answered by this end of its connections, so the proxy does what unanswered
+    ones would do: it ends each connection KEEPALIVE_S after its last answered probe or byte.
     """
 
     def __init__(self, target: str) -> None:
@@ -215,6 +219,7 @@
         self._open = asyncio.Event()
         self._open.set()
         self.address = ""
+        self._active_at: dict[asyncio.StreamWriter, float] = {}
         self.on_request: Callable[[bytes], None] = lambda data: None
 
     async def start(self, ip: str) -> None:
@@ -223,6 +228,15 @@
 
     def cut(self) -> None:
         self._open.clear()
+        now = time.monotonic()
+        for writer, active_at in self._active_at.items():
+            last_probe_at = now - (now - active_at) % PROBE_S
+            delay_s = last_probe_at + KEEPALIVE_S - now
+            asyncio.get_running_loop().call_later(delay_s, self._end_if_cut, writer)
+
+    def _end_if_cut(self, writer: asyncio.StreamWriter) -> None:
+        if not self._open.is_set():
+            writer.transport.abort()
 
     def heal(self) -> None:
         self._open.set()
@@ -235,10 +249,22 @@
         except (OSError, asyncio.CancelledError):
             writer.close()
             return
-        await asyncio.gather(
-            self._pass(reader, far_writer, self.on_request),
-            self._pass(far_reader, writer, lambda data: None),
-        )
+        self._active_at[writer] = time.monotonic()
+
+        def seen(data: bytes) -> None:
+            self._active_at[writer] = time.monotonic()
+
+        def seen_request(data: bytes) -> None:
+            seen(data)
+            self.on_request(data)
+
+        try:
+            await asyncio.gather(
+                self._pass(reader, far_writer, seen_request),
+                self._pass(far_reader, writer, seen),
+            )
+        finally:
+            del self._active_at[writer]
 
     async def _pass(
         self,
