--- a/review/3/play.py
+++ b/review/3/play.py
@@ -11,8 +11,8 @@
 DRAIN_S = 2.0  # bounds.drain_s
 TOUCH_S = 3.0  # bounds.touch_s
 LATE_S = 3.5  # how late the heartbeat is: "seconds"
-STAY_S = 12.0  # how long the instance goes on serving: "at times many seconds"; sites: 15
-DOWN_S = 1.0  # how long the killed process is down; sites: 3.5
+STAY_S = 12.0  # how long the instance goes on serving: "at times many seconds"
+DOWN_S = 1.0  # how long the killed process is down; buzulip-mesh: 3.5
 GAP_S = 0.05  # between two requests of the clients of one machine
 
 
