Gate: a report that may be older than a leaving opens it only after a health check

Cause: LocalInstanceController took the first report it got for the present state. A report that was sent before the leaving and arrives at the next process opened the gate, since what it would be compared with lay in the memory of the killed process.

Ruled out: the health check at the start, and other nodes, which remember the leaving incarnation.

Other nodes tell a restarted one which incarnation leaves in the hello of a link, and are told of a leaving before it is acknowledged. A deregistration gives the start time. Why it works: the answer to a question asked by this process is newer than anything an earlier one acknowledged, and needs neither the store nor another node.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -6,12 +6,13 @@
 import contextlib
 from collections.abc import Callable, Iterable
 
-from peridottrack.frames import DocumentFrame, DocumentRequest, GateLoad, Hello
+from peridottrack.frames import DocumentFrame, DocumentRequest, GateLoad, Hello, LeftInstance
 from peridottrack.gateroute import GateRoute, LocalRoute
 from peridottrack.gatesubset import GateSubset
 from peridottrack.link import TICK_S, Link, LinkHooks
 from peridottrack.linkserver import LinkServer
 from peridottrack.messages import MemberUpdate
+from peridottrack.placement import LEAVING_MEMORY_S
 from peridottrack.types import Clock, NodeId, ServiceName
 
 REPORT_DELAY_S = 0.01
@@ -65,6 +66,8 @@
         # Links that get no new requests, of removed members and of those no longer selected.
         self._task_by_removed_link: dict[Link, asyncio.Task[None]] = {}
         self._node_by_removed_link: dict[Link, NodeId] = {}
+        # By removed node; with the time when its link was closed.
+        self._left_instance_by_node: dict[NodeId, tuple[LeftInstance, float]] = {}
         self._report_scheduled = False
         self._allowance = float(REPORT_BYTES_PER_S)
         self._allowance_updated_at = clock.now()
@@ -96,6 +99,7 @@
         for node in list(self._link_by_node):
             if node not in update_by_node:
                 removed = self._link_by_node.pop(node)
+                self._remember_left_instance(node, removed)
                 self._task_by_removed_link[removed] = self._task_by_node.pop(node)
                 self._node_by_removed_link[removed] = node
         self._close_removed()
@@ -104,12 +108,23 @@
             if link is None:
                 link = Link(update.admin, update.domain, self._make_hello, self._hooks, self._clock)
                 link.on_first_load = self._first_load.set
+                link.left_instance, _ = self._left_instance_by_node.pop(node, (None, 0.0))
                 self._link_by_node[node] = link
                 self._task_by_node[node] = asyncio.create_task(link.run())
             elif self._incarnation_by_node.get(node) != update.incarnation:
                 link.reconnect_now()
             self._incarnation_by_node[node] = update.incarnation
 
+    def _remember_left_instance(self, node: NodeId, link: Link) -> None:
+        """Keep what a removed link knows for one that replaces it."""
+        now = self._clock.now()
+        remembered = self._left_instance_by_node
+        for other, (_, known_at) in list(remembered.items()):
+            if now - known_at > LEAVING_MEMORY_S:
+                del remembered[other]
+        if link.left_instance is not None:
+            remembered[node] = link.left_instance, now
+
     def _close_removed(self) -> None:
         for link in list(self._task_by_removed_link):
             is_member = self._node_by_removed_link[link] in self._update_by_node
@@ -199,7 +214,14 @@
         self._server.broadcast(frame, MAX_REPORT_PEERS)
 
     def report_load(self, urgent: bool) -> None:
-        """Schedule a load report to the nodes that send requests here."""
+        """Schedule a load report to the nodes that send requests here.
+
+        That the gate has closed is reported at once: a leaving is acknowledged after this, and the
+        other nodes must know of it if this process ends.
+        """
+        if urgent and not self._local_route.is_open:
+            self._report()
+            return
         if self._report_scheduled:
             return
         self._report_scheduled = True
--- a/peridottrack/controllers/probe.py
+++ b/peridottrack/controllers/probe.py
@@ -8,18 +8,12 @@
 from enum import Enum
 
 from peridottrack import log
-from peridottrack.controllers.localinstance import (
-    UNKNOWN_START,
-    InstanceReport,
-    LocalInstanceController,
-    ReportResult,
-)
 from peridottrack.exceptions import BrokeOff, NotConnected, ResponseTooLarge
 from peridottrack.headerblock import header_value
 from peridottrack.headernames import HeaderNames
 from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
-from peridottrack.types import Clock, InstanceId, InstanceState, ServiceName
+from peridottrack.types import Clock, InstanceId
 from peridottrack.upstream import ConnectionPool
 
 PROBE_TIMEOUT_S = 0.5
@@ -129,8 +123,15 @@
         self._tokens -= 1.0
         return True
 
-    async def probe(self) -> Health | None:
-        """Send one probe; return None if it was not answered."""
+    async def probe(self, *, new_connection: bool = False) -> Health | None:
+        """Send one probe; return None if it was not answered.
+
+        Parameters
+        ----------
+        new_connection
+            Whether to use a connection of its own. A health response names no request, so on a
+            kept connection it may be a late one to an earlier probe.
+        """
         path = self._path()
         if path is None:
             return None
@@ -138,11 +139,17 @@
         sent_at = self._clock.now()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection = await self._pool.acquire(at_most_once=False)
+                if new_connection:
+                    connection = await self._pool.connect()
+                else:
+                    connection = await self._pool.acquire(at_most_once=False)
                 try:
                     response = await connection.exchange(request, b"", self._id_name, False)
                 finally:
-                    self._pool.release(connection)
+                    if new_connection:
+                        connection.close()
+                    else:
+                        self._pool.release(connection)
         except (NotConnected, BrokeOff, ResponseTooLarge, TimeoutError) as error:
             log.event("probe failed", error=repr(error))
             return None
@@ -156,33 +163,3 @@
         instance = InstanceId(name.decode("latin-1"))
         self.on_response(stated, instance)
         return Health(response.status == HEALTHY_STATUS, instance, stated)
-
-
-async def open_from_health(
-    prober: Prober, local_instance: LocalInstanceController, service: ServiceName
-) -> None:
-    """Open the gate after a successful probe, unless the instance has already reported its status.
-
-    When a node restarts while its instance keeps running, the next status report of the instance
-    takes too long to wait for.
-    """
-    health = await prober.probe()
-    if health is None or local_instance.has_report:
-        return
-    usable = health.healthy and not health.stated.leaving
-    if not usable or not health.instance or health.stated.load is None:
-        log.event("instance not taken from its health", health=str(health))
-        return
-    report = InstanceReport(
-        health.instance,
-        service,
-        health.stated.load.slots,
-        InstanceState.READY,
-        0,
-        UNKNOWN_START,
-        0.0,
-    )
-    if local_instance.apply(report) is ReportResult.APPLIED:
-        log.event("instance met by its health", instance=health.instance)
-        # The gate knows the instance only now.
-        prober.on_response(health.stated, health.instance)
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -200,12 +200,18 @@
         " starts there.",
         {**_INSTANCE, "born": "its start time, as reported by it"},
     ),
+    "report held": Event(
+        "An announcement that the instance is ready may be older than a leaving of which this"
+        " process does not know; the gate opens once a health probe confirms it.",
+        {**_INSTANCE, "sequence": "its sequence number"},
+    ),
     "instance met by its health": Event(
-        "The gate opened by a health probe, before the instance announced itself.", _INSTANCE
+        "The gate opened since a health probe shows that the instance is ready, after the node"
+        " started or after a held announcement.",
+        _INSTANCE,
     ),
     "instance not taken from its health": Event(
-        "A health probe did not open the gate: unhealthy or leaving, or no id or no load in the"
-        " response.",
+        "A health probe did not open the gate: the instance is unhealthy or leaving.",
         {"health": "the response"},
     ),
     "probe failed": Event("The instance did not answer a probe.", {"error": "the error"}),
--- a/peridottrack/framecodec.py
+++ b/peridottrack/framecodec.py
@@ -23,6 +23,7 @@
     HedgeHint,
     Hello,
     InstanceResponse,
+    LeftInstance,
     LinkPing,
     LinkPong,
     Refusal,
@@ -198,15 +199,20 @@
     target.domain = frame.domain
     target.documentVersion = frame.document_version
     target.compressed = frame.compressed
+    if frame.left_instance is not None:
+        target.leftInstance = frame.left_instance.instance
+        target.leftStartTime = frame.left_instance.start_time
 
 
 def _decode_hello(message: Any) -> Hello:
     source = message.hello
+    left = source.leftInstance
     return Hello(
         NodeId(source.node),
         FailureDomain(source.domain),
         source.documentVersion,
         source.compressed,
+        LeftInstance(InstanceId(left), source.leftStartTime) if left else None,
     )
 
 
--- a/peridottrack/frames.capnp
+++ b/peridottrack/frames.capnp
@@ -39,6 +39,9 @@
       domain @1 :Text;
       documentVersion @2 :UInt64;
       compressed @35 :Bool;  # whether all later frames, in both directions, are compressed
+      # Incarnation that has left the receiver's host, as far as the sender knows (left_instance).
+      leftInstance @38 :Text;  # empty for none
+      leftStartTime @39 :UInt64;
     }
     request :group {
       number @3 :UInt32;
--- a/peridottrack/frames.py
+++ b/peridottrack/frames.py
@@ -56,6 +56,20 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LeftInstance:
+    """An incarnation of an instance that has announced that it leaves.
+
+    Parameters
+    ----------
+    start_time
+        When it started by its own report, 0 if unknown.
+    """
+
+    instance: InstanceId
+    start_time: int
+
+
 @dataclass(frozen=True, slots=True)
 class Hello:
     """First frame on a connection, sent by the side that connects.
@@ -64,12 +78,16 @@
     ----------
     compressed
         Whether all frames after this one are compressed, in both directions.
+    left_instance
+        Instance of the receiver of which the sender knows that it leaves. The receiver may have
+        restarted and not know of it.
     """
 
     node: NodeId
     domain: FailureDomain
     document_version: int
     compressed: bool = False
+    left_instance: LeftInstance | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridottrack/gateroute.py
+++ b/peridottrack/gateroute.py
@@ -69,6 +69,11 @@
         self._clock = clock
         self.domain = domain
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the gate accepts new requests."""
+        return self._gate.gate.is_open
+
     @property
     def load(self) -> GateLoad | None:
         """The gate's current load."""
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -19,6 +19,7 @@
     HedgeHint,
     Hello,
     InstanceResponse,
+    LeftInstance,
     LinkPing,
     Refusal,
 )
@@ -59,10 +60,13 @@
         Returns the current document, None if there is none.
     on_document
         Called with each document that a peer sends.
+    on_left_instance
+        Called with the local instance of which a peer knows that it leaves.
     """
 
     document: Callable[[], DocumentFrame | None]
     on_document: Callable[[DocumentFrame], None]
+    on_left_instance: Callable[[LeftInstance], None] = lambda left: None
 
 
 def _ignore() -> None:
@@ -76,6 +80,8 @@
     ----------
     on_first_load
         Called when the first load report after a connection was received.
+    left_instance
+        The peer's instance if it leaves; kept while the peer restarts.
     """
 
     def __init__(
@@ -96,6 +102,7 @@
         self._sent_at_by_number: dict[int, float] = {}
         self._on_hedge_hint_by_number: dict[int, OnHedgeHint] = {}
         self.load: GateLoad | None = None
+        self.left_instance: LeftInstance | None = None
         self.on_first_load: Callable[[], None] = _ignore
         self.received_at = self.load_received_at = float("-inf")
         self._pinged_at = float("-inf")
@@ -112,7 +119,9 @@
     def _link_hello(self) -> Hello:
         """Return the hello; only traffic between failure domains is worth compressing."""
         hello = self._make_hello()
-        return replace(hello, compressed=hello.domain != self.domain)
+        return replace(
+            hello, compressed=hello.domain != self.domain, left_instance=self.left_instance
+        )
 
     @property
     def usable(self) -> bool:
@@ -238,9 +247,20 @@
     def _set_load(self, load: GateLoad) -> None:
         is_first = self.load is None
         self.load, self.load_received_at = load, self.received_at
+        if load.leaving and load.instance:
+            self.left_instance = LeftInstance(load.instance, load.start_time)
+        elif load.open and self._is_after_left_instance(load):
+            self.left_instance = None
         if is_first:
             self.on_first_load()
 
+    def _is_after_left_instance(self, load: GateLoad) -> bool:
+        """Return whether a report is of a later incarnation than the one that leaves."""
+        left = self.left_instance
+        return left is not None and (
+            load.instance != left.instance or load.start_time > left.start_time
+        )
+
     def _remove_request(self, number: int) -> asyncio.Future[Outcome] | None:
         self._sent_at_by_number.pop(number, None)
         self._on_hedge_hint_by_number.pop(number, None)
--- a/peridottrack/linkserver.py
+++ b/peridottrack/linkserver.py
@@ -121,12 +121,14 @@
             handler(self, frame)
 
     def handle_hello(self, frame: Hello) -> None:
-        """Record the peer's name; send it the load and, if newer than its own, the document."""
+        """Record what the peer says; send it the load and, if newer than its own, the document."""
         self.node = frame.node
         self._transit_delay.reset()
         if frame.compressed:
             self.compress()
         self._server.connections.add(self)
+        if frame.left_instance is not None:
+            self._server.hooks.on_left_instance(frame.left_instance)
         self.write(encode(self._server.gate.gate.load()))
         document = self._server.hooks.document()
         if document is not None and document.version > frame.document_version:
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -18,6 +18,7 @@
 from peridottrack import log
 from peridottrack.clock import LoopClock
 from peridottrack.config import MeshSettings, parse_endpoint
+from peridottrack.controllers.confirmation import ConfirmationController
 from peridottrack.controllers.follow import (
     DocumentFollowController,
     select_candidates,
@@ -27,7 +28,7 @@
 from peridottrack.controllers.localinstance import LocalInstanceController
 from peridottrack.controllers.members import ClusterView, MembersController, SharedDirectory
 from peridottrack.controllers.poison import PoisonController
-from peridottrack.controllers.probe import Prober, open_from_health
+from peridottrack.controllers.probe import Prober
 from peridottrack.datagramcodec import DatagramSigner
 from peridottrack.datagrams import DatagramTransport
 from peridottrack.debug import process_facts
@@ -176,6 +177,7 @@
         self._spawn(self._join())
         self._spawn(self.document_follower.run())
         self._spawn(self.gate_controller.run())
+        self._spawn(self.confirmation.run())
         log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
 
     def apply_settings(self, settings: MeshSettings) -> None:
@@ -316,7 +318,11 @@
         self.document_follower.on_restored = self._restore_entries
         self.document_follower.knows_members = self._knows_members
         self.document_follower.entered_era = lambda: self._directory.era
-        hooks = LinkHooks(lambda: self.document_follower.frame, self.document_follower.apply_frame)
+        hooks = LinkHooks(
+            lambda: self.document_follower.frame,
+            self.document_follower.apply_frame,
+            lambda left: self.local_instance.record_leaving(left.instance, left.start_time),
+        )
         self.link_server = LinkServer(self.gate_controller, hooks, clock)
         local_route = LocalRoute(self.gate_controller, domain, clock)
         subset = GateSubset(local_member.node, domain, clock)
@@ -345,6 +351,8 @@
         )
         self.prober.on_response = self.gate_controller.record_statements
         self.gate_controller.prober = self.prober
+        self.confirmation = ConfirmationController(self.prober, self.local_instance)
+        self.local_instance.request_confirmation = self.confirmation.request_and_wait
         self.members.cluster_views.subscribe(self._update_members)
 
     def _local_member(self) -> MemberUpdate:
@@ -416,12 +424,8 @@
         self.members.set_document_version(table.version)
         if from_store:
             self.links.send_document(frame)
-        if not self.local_instance.has_report:
-            self._spawn(
-                open_from_health(
-                    self.prober, self.local_instance, ServiceName(self.settings.service)
-                )
-            )
+        # Only the document tells the health path.
+        self.confirmation.request()
 
     def _health_path(self) -> str | None:
         table = self.document_follower.table
--- a/peridottrack/placement.py
+++ b/peridottrack/placement.py
@@ -153,7 +153,11 @@
             self._forget_left(now)
             self._leaving_by_instance[load.instance] = _LeavingInstance(load.start_time, now)
             return True
-        return known is not None and load.start_time <= known.start_time
+        if known is not None and load.start_time > known.start_time:
+            # A later incarnation, whose start time is unknown for a moment if its node restarts.
+            del self._leaving_by_instance[load.instance]
+            return False
+        return known is not None
 
     def _forget_left(self, now: float) -> None:
         for instance, known in list(self._leaving_by_instance.items()):
--- a/peridottrack/platform/announce.py
+++ b/peridottrack/platform/announce.py
@@ -10,6 +10,7 @@
 
 from peridottrack import log
 from peridottrack.controllers.localinstance import (
+    UNKNOWN_START,
     InstanceReport,
     LocalInstanceController,
     ReportResult,
@@ -18,7 +19,12 @@
 
 STATE_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 # A stale report was delivered, so it is no error for the instance.
-STATUS_BY_RESULT = {ReportResult.APPLIED: 200, ReportResult.STALE: 200, ReportResult.FOREIGN: 400}
+STATUS_BY_RESULT = {
+    ReportResult.APPLIED: 200,
+    ReportResult.HELD: 200,
+    ReportResult.STALE: 200,
+    ReportResult.FOREIGN: 400,
+}
 MAX_BODY_BYTES = 64 << 10
 
 
@@ -42,19 +48,33 @@
     slots = _require_type(info.get("max_concurrent"), int, "max_concurrent")
     if slots < 1:
         raise ValueError(f"max_concurrent {slots} is below 1")
-    # Some platforms do not send the field `born`; 0 means an unknown start time.
-    start_time = data.get("born", 0)
     return InstanceReport(
         InstanceId(instance),
         ServiceName(_require_type(info.get("service"), str, "service")),
         slots,
         STATE_BY_NAME[state],
         _require_type(status.get("sequence"), int, "sequence"),
-        _require_type(start_time, int, "born"),
+        _start_time(data),
         float(_require_type(status.get("warmup_left_s", 0), (int, float), "warmup_left_s")),
     )
 
 
+def read_deregistration(body: bytes) -> int:
+    """Decode the body of a deregistration; return the start time of the instance.
+
+    Raises
+    ------
+    ValueError
+        If the body is neither empty nor an object with a valid start time.
+    """
+    return _start_time(_require_type(json.loads(body), dict, "body")) if body else UNKNOWN_START
+
+
+def _start_time(data: dict[str, Any]) -> int:
+    # Some platforms do not send the field `born`.
+    return int(_require_type(data.get("born", UNKNOWN_START), int, "born"))
+
+
 def _require_type(value: Any, kind: Any, name: str) -> Any:
     if isinstance(value, bool) or not isinstance(value, kind):
         raise ValueError(f"{name} is missing or of another type")
@@ -70,10 +90,15 @@
         except ValueError as error:
             log.warning("announcement refused", error=str(error)[:200])
             return web.json_response({"error": str(error)[:200]}, status=400)
-        return web.json_response({}, status=STATUS_BY_RESULT[local_instance.apply(report)])
+        return web.json_response({}, status=STATUS_BY_RESULT[await local_instance.receive(report)])
 
     async def deregister(request: web.Request) -> web.Response:
-        local_instance.record_leaving(InstanceId(request.match_info["id"]))
+        try:
+            start_time = read_deregistration(await request.read())
+        except ValueError as error:
+            log.warning("announcement refused", error=str(error)[:200])
+            return web.json_response({"error": str(error)[:200]}, status=400)
+        local_instance.record_leaving(InstanceId(request.match_info["id"]), start_time)
         return web.json_response({})
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
