node: an upstream that has announced its leaving never comes back into service

What callers would see: an upstream drained or deregistered, its node restarted, a late announcement put it back into service for the length of its lease; calls at work when it ended were lost. After a deregistration this happened without a restart as well.

Change: names that have left are remembered; a late announcement is answered 409. The leaving is reported to all nodes, which send nothing there and remind a restarted node. Why it works: names are new at each start (docs/operators.md), so no sound upstream can be kept out; what a restarted node lost, the others have. The draining of a node that leaves itself is not reported.

Open: all nodes restarted at once.

--- a/peridottrack/admin.py
+++ b/peridottrack/admin.py
@@ -96,14 +96,15 @@
             announcement = Announcement.model_validate_json(await request.read())
         except ValidationError as error:
             raise web.HTTPBadRequest(text=f"{error}\n") from None
-        controller.announce(_instance_id(request), announcement)
+        if not controller.announce(_instance_id(request), announcement):
+            raise web.HTTPConflict(text="an instance that has left needs a new name\n")
         return web.Response(status=204)
 
     async def post_drain(request: web.Request) -> web.Response:
         return _found_response(controller.drain(_instance_id(request)))
 
     async def delete_instance(request: web.Request) -> web.Response:
-        return _found_response(controller.withdraw(_instance_id(request)))
+        return _found_response(controller.deregister(_instance_id(request)))
 
     app = web.Application(middlewares=[only_local])
     app.router.add_put("/instances/{id:[A-Za-z0-9_.-]{1,64}}", put_instance)
--- a/peridottrack/controllers/announce.py
+++ b/peridottrack/controllers/announce.py
@@ -22,6 +22,8 @@
 )
 
 EXPIRY_CHECK_INTERVAL_S = 0.25
+MAX_LEFT = 256
+"""Number of upstreams that have left which are remembered."""
 PublishInstances = Callable[[list[Instance]], None]
 
 
@@ -64,7 +66,13 @@
 
 
 class AnnounceController:
-    """Tracks the leases of local upstreams and publishes each change."""
+    """Tracks the leases of local upstreams and publishes each change.
+
+    Attributes
+    ----------
+    on_leaving
+        Called with each local upstream that announces that it leaves.
+    """
 
     def __init__(
         self, host: str, domain: str, lease_s: float, clock: Clock, publish: PublishInstances
@@ -75,10 +83,16 @@
         self._clock = clock
         self._publish_instances = publish
         self.local_by_id: dict[InstanceId, AnnouncedInstance] = {}
+        # In order of their leaving.
+        self._left: dict[InstanceId, None] = {}
+        self.on_leaving: Callable[[InstanceId], None] = lambda instance_id: None
 
-    def announce(self, instance_id: InstanceId, announcement: Announcement) -> None:
-        """Register an upstream or renew its lease."""
+    def announce(self, instance_id: InstanceId, announcement: Announcement) -> bool:
+        """Register an upstream or renew its lease; False if it has been withdrawn."""
         current = self.local_by_id.get(instance_id)
+        if instance_id in self._left and current is None:
+            log.event("late announcement", instance=instance_id)
+            return False
         state = InstanceState.COLD if announcement.cold else InstanceState.READY
         if current is not None and current.instance.state is InstanceState.DRAINING:
             # A renewal sent before the drain took effect must not put the instance back in service.
@@ -98,9 +112,27 @@
         if current is None or current.instance != instance:
             log.event("upstream announced", instance=instance_id, state=state.value)
             self._publish()
+        return True
 
     def drain(self, instance_id: InstanceId) -> bool:
-        """Stop new requests to an upstream; False if it is unknown."""
+        """Stop new requests to an upstream that announces that it leaves; False if unknown."""
+        self._remember_left(instance_id)
+        self.on_leaving(instance_id)
+        return self._stop_requests(instance_id)
+
+    def record_left(self, instance_id: InstanceId) -> None:
+        """Stop new requests to an upstream whose leaving an earlier process acknowledged."""
+        self._remember_left(instance_id)
+        current = self.local_by_id.get(instance_id)
+        if current is not None and current.instance.state is not InstanceState.DRAINING:
+            self._stop_requests(instance_id)
+
+    def _remember_left(self, instance_id: InstanceId) -> None:
+        self._left[instance_id] = None
+        while len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
+    def _stop_requests(self, instance_id: InstanceId) -> bool:
         current = self.local_by_id.get(instance_id)
         if current is None:
             return False
@@ -112,7 +144,13 @@
     def drain_all(self) -> None:
         """Drain all upstreams because this node is leaving."""
         for instance_id in list(self.local_by_id):
-            self.drain(instance_id)
+            self._stop_requests(instance_id)
+
+    def deregister(self, instance_id: InstanceId) -> bool:
+        """Remove an upstream that announces that it is gone; False if it is unknown."""
+        self._remember_left(instance_id)
+        self.on_leaving(instance_id)
+        return self.withdraw(instance_id)
 
     def withdraw(self, instance_id: InstanceId) -> bool:
         """Remove an upstream; False if it is unknown."""
--- a/peridottrack/datagramcodec.py
+++ b/peridottrack/datagramcodec.py
@@ -23,6 +23,7 @@
     Body,
     BucketDigests,
     CrashReport,
+    LeavingReport,
     LoadEntry,
     LoadReply,
     LoadReport,
@@ -320,6 +321,7 @@
     LoadReply: _load_writer("loadReply"),
     SlownessReport: _write_slowness_report,
     CrashReport: _write_crash_report,
+    LeavingReport: lambda datagram, body: setattr(datagram, "leaving", body.instance),
 }
 
 _READ_BY_NAME: dict[str, Callable[[Any], Body]] = {
@@ -337,4 +339,5 @@
     "crash": lambda datagram: CrashReport(
         datagram.crash.fingerprint, InstanceId(datagram.crash.instance)
     ),
+    "leaving": lambda datagram: LeavingReport(InstanceId(datagram.leaving)),
 }
--- a/peridottrack/messages.capnp
+++ b/peridottrack/messages.capnp
@@ -66,5 +66,6 @@
       fingerprint @17 :Text;  # of the request
       instance @18 :Text;
     }
+    leaving @19 :Text;  # instance that has announced that it leaves (`LeavingReport`)
   }
 }
--- a/peridottrack/messages.py
+++ b/peridottrack/messages.py
@@ -157,6 +157,13 @@
     instance: InstanceId
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """An instance has announced that it leaves."""
+
+    instance: InstanceId
+
+
 Body = (
     Rumor
     | Ping
@@ -168,6 +175,7 @@
     | LoadReply
     | SlownessReport
     | CrashReport
+    | LeavingReport
 )
 
 
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -28,6 +28,7 @@
 from peridottrack.controllers.claims import ClaimsController
 from peridottrack.controllers.document import DocumentController
 from peridottrack.controllers.drain import DrainController
+from peridottrack.controllers.leaving import LeavingController
 from peridottrack.controllers.load import WAKE_INTERVAL_S, LoadController
 from peridottrack.controllers.loadreports import LoadReportController
 from peridottrack.controllers.members import ClusterView, MembersController, TableDirectory
@@ -93,6 +94,7 @@
             await self.document.fetch_from_peers([peer.node for peer in self.members.peers()])
         self._spawn(self.document.run())
         self._spawn(self.announce.run())
+        self._spawn(self.leaving.run())
         self._spawn(self.load_reports.run())
         self.load_reports.start_detector()
         self._spawn(self._wake_queues())
@@ -174,6 +176,7 @@
             clock,
             self.members.set_instances,
         )
+        self.leaving = LeavingController(self.members, self.announce, self.datagrams, clock)
         budget = LoadReportBudget(
             clock, settings.measuring_messages_per_s, settings.measuring_bytes_per_s
         )
@@ -217,13 +220,14 @@
 
     def _subscribe(self) -> None:
         def apply_view(view: ClusterView) -> None:
-            self.load.set_instances(view.instances, view.node_count)
+            self.load.set_instances(self.leaving.in_service(view.instances), view.node_count)
 
         def apply_document(document: Document | None) -> None:
             self.load.set_document(document)
             self.members.set_document_version(self.document.version)
 
         self.members.cluster_views.subscribe(apply_view)
+        self.leaving.on_change = lambda: apply_view(self.members.cluster_views.value)
         self.document.documents.subscribe(apply_document)
         PoisonController(self.poison, self.members, self.datagrams)
 
