Entries, documents, reports and headers that cannot be read are passed over

A response with a number of 400 digits in its load report made the request hang to its deadline; one in Keep-Alive turned a complete response into a 502.

Cause: each place caught the exceptions its author thought of. Deep nesting raises RecursionError, a number too large OverflowError, a wrong type AttributeError; values that could be decoded but do not fit a datagram or a frame failed later, in a timer or in the task of the membership protocol.

Change: `jsondata` decodes what others wrote and raises nothing but ValueError; types, ranges and lengths are checked where the bytes are read, incarnations that a node could not exceed are rejected, figures of headers out of range are ignored. Background work that fails is logged and started again (`background`). Why it works: nothing that is kept can fail to be encoded or compared later.

--- a/peridottrack/controllers/announce.py
+++ b/peridottrack/controllers/announce.py
@@ -40,7 +40,7 @@
         Number of requests that it is running.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
     service: Name
     port: Annotated[int, Field(ge=1, le=65_535)]
--- a/peridottrack/controllers/document.py
+++ b/peridottrack/controllers/document.py
@@ -15,6 +15,7 @@
 from peridottrack import log
 from peridottrack.document import Document, SectionConfig, check_document, section_from_data
 from peridottrack.exceptions import InvalidDocument, StoreUnavailable
+from peridottrack.jsondata import decode_json, require_object, require_text
 from peridottrack.metrics import Metrics
 from peridottrack.restoredtable import is_restored, write_back
 from peridottrack.revisions import DocumentHead, decode_head_value, read_head, read_revision
@@ -110,6 +111,9 @@
                 await self._read_sections(head)
         except StoreUnavailable:
             return False
+        except ValueError as error:
+            log.warning("document refused", origin="store", faults=str(error)[:300])
+            return False
         finally:
             self._metrics.document_age_seconds.set(self.confirmed_age_s() or 0.0)
         self._confirmed_at = self._clock.now()
@@ -170,8 +174,14 @@
         body = await self._peers.fetch(node, self.snapshot.head)
         if body is None:
             return False
-        reply = json.loads(body)
-        return self._adopt(decode_head_value(reply["head"].encode()), reply["changed"])
+        try:
+            reply = require_object(decode_json(body), "reply")
+            head = decode_head_value(require_text(reply.get("head"), "head", len(body)).encode())
+            changed = require_object(reply.get("changed"), "changed")
+        except ValueError as error:
+            log.warning("document refused", origin="node", faults=str(error)[:300])
+            return False
+        return self._adopt(head, {SectionName(name): data for name, data in changed.items()})
 
     async def _read_sections(self, head: DocumentHead) -> None:
         changed = {}
--- a/peridottrack/controllers/members.py
+++ b/peridottrack/controllers/members.py
@@ -12,9 +12,18 @@
 from reactivex.subject import BehaviorSubject
 
 from peridottrack import log
+from peridottrack.config import parse_endpoint
 from peridottrack.datagrams import DatagramTransport
 from peridottrack.distance import Distances
 from peridottrack.exceptions import StoreUnavailable
+from peridottrack.jsondata import (
+    MAX_UINT16,
+    decode_json,
+    require_integer,
+    require_list,
+    require_object,
+    require_text,
+)
 from peridottrack.membership import TICK_S, Membership
 from peridottrack.messages import (
     Ack,
@@ -49,6 +58,13 @@
 )
 
 PARTITION = "member"
+STATE_BY_NAME = {state.name.lower(): state for state in MemberState}
+MAX_ENTRY_INCARNATION = 1 << 53
+"""Highest incarnation of an entry: far above the time of day in milliseconds, and far below what a
+datagram holds, so that the node that is meant can always exceed it."""
+MAX_ENTRY_INSTANCES = 64
+"""Most instances of an entry that are read: a datagram must hold them."""
+UNREADABLE_ENTRY = "entry of a node cannot be read"
 JOIN_RETRY_S = 1.0
 MEMBERSHIP_BODIES = (Rumor, Ping, Ack, PingRequest, BucketDigests, Pull)
 OnNewerVersion = Callable[[NodeId, int], None]
@@ -317,8 +333,14 @@
 
 
 async def read_members(table: TableStore) -> list[MemberUpdate]:
-    """Read the entries of all nodes."""
-    return [update_from_data(json.loads(row.value)) async for row in scan(table, PARTITION)]
+    """Read the entries of all nodes except those that cannot be decoded."""
+    updates = []
+    async for row in scan(table, PARTITION):
+        try:
+            updates.append(update_from_entry(row.value))
+        except ValueError as error:
+            log.warning(UNREADABLE_ENTRY, key=row.key.sort, error=str(error)[:200])
+    return updates
 
 
 def _shard_weight(shard: int, node: NodeId) -> bytes:
@@ -349,34 +371,48 @@
     }
 
 
-def update_from_data(data: dict[str, Any]) -> MemberUpdate:
-    """Build a member's update from its stored JSON object."""
-    domain = FailureDomain(data["domain"])
-    instances = tuple(
-        Instance(
-            InstanceId(item["id"]),
-            ServiceName(item["service"]),
-            _endpoint(item["address"]),
-            item["slots"],
-            item["connections"],
-            domain,
-            InstanceState(item["state"]),
-        )
-        for item in data["instances"]
-    )
+def update_from_entry(value: bytes) -> MemberUpdate:
+    """Decode a member's entry in the directory.
+
+    Raises
+    ------
+    ValueError
+        If the entry names no node to use.
+    """
+    data = require_object(decode_json(value), "entry")
+    domain = FailureDomain(require_text(data.get("domain"), "domain"))
+    instances = require_list(data.get("instances"), "instances")
+    state = require_text(data.get("state"), "state")
+    if state not in STATE_BY_NAME:
+        raise ValueError(f"state {state!r} is not known")
     return MemberUpdate(
-        NodeId(data["node"]),
-        data["incarnation"],
-        MemberState[data["state"].upper()],
-        _endpoint(data["admin"]),
+        NodeId(str(_endpoint(data.get("node"), "node"))),
+        require_integer(data.get("incarnation"), "incarnation", 0, MAX_ENTRY_INCARNATION),
+        STATE_BY_NAME[state],
+        _endpoint(data.get("admin"), "admin"),
         domain,
-        Region(data["region"]),
-        instances,
+        Region(require_text(data.get("region"), "region")),
+        tuple(_instance_from_data(item, domain) for item in instances[:MAX_ENTRY_INSTANCES]),
         # Entries of nodes without a gate, and of an earlier release, name none.
-        service=ServiceName(data.get("service", "")),
+        service=ServiceName(require_text(data.get("service", ""), "service")),
+    )
+
+
+def _instance_from_data(item: Any, domain: FailureDomain) -> Instance:
+    data = require_object(item, "instance")
+    return Instance(
+        InstanceId(require_text(data.get("id"), "id")),
+        ServiceName(require_text(data.get("service"), "service")),
+        _endpoint(data.get("address"), "address"),
+        require_integer(data.get("slots"), "slots", 0, MAX_UINT16),
+        require_integer(data.get("connections"), "connections", 0, MAX_UINT16),
+        domain,
+        InstanceState(require_text(data.get("state"), "state")),
     )
 
 
-def _endpoint(text: str) -> Endpoint:
-    host, _, port = text.rpartition(":")
-    return Endpoint(host, int(port))
+def _endpoint(value: Any, name: str) -> Endpoint:
+    endpoint = parse_endpoint(require_text(value, name))
+    if not endpoint.port:
+        raise ValueError(f"{name} has no port")
+    return endpoint
--- a/peridottrack/datagramcodec.py
+++ b/peridottrack/datagramcodec.py
@@ -18,6 +18,7 @@
 import capnp
 
 from peridottrack.exceptions import DatagramRejected
+from peridottrack.jsondata import MAX_INT64
 from peridottrack.messages import (
     Ack,
     Body,
@@ -103,6 +104,10 @@
         raise DatagramRejected("undecodable") from error
 
 
+MAX_INCARNATION = MAX_INT64
+"""Highest incarnation that is accepted, so that the node that is meant can exceed it."""
+
+
 class DatagramSigner:
     """Signs the datagrams of one node and verifies those of others.
 
@@ -209,6 +214,8 @@
 
 def _read_update(source: Any) -> MemberUpdate:
     node = _read_address(source.node)
+    if source.incarnation > MAX_INCARNATION:
+        raise ValueError(f"incarnation {source.incarnation} cannot be exceeded")
     domain = FailureDomain(source.domain)
     return MemberUpdate(
         node,
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -290,6 +290,11 @@
     "request failed": Event(
         "An unexpected exception in the node ended a request.", {"error": "the exception"}
     ),
+    "background work failed": Event(
+        "An unexpected exception ended background work of the node, which starts again.",
+        {"work": "its function", "error": "the exception"},
+        LogPolicy.LIMITED,
+    ),
     "request sent again": Event(
         "A request is retried or hedged at another instance.",
         {
--- a/peridottrack/headernames.py
+++ b/peridottrack/headernames.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+MAX_FIGURE = 0xFFFF
+"""Largest figure of a load report; other nodes are told of it in 16 bits."""
+
 
 @dataclass(frozen=True, slots=True)
 class LoadFigures:
@@ -28,7 +31,7 @@
         figures = [int(part) for part in parts]
     except ValueError:
         return None
-    if len(figures) < 3 or min(figures) < 0:
+    if len(figures) < 3 or min(figures) < 0 or max(figures) > MAX_FIGURE:
         return None
     slowdown = max(figures[3] / 100.0, 0.1) if len(figures) > 3 else 1.0
     return LoadFigures(figures[0], figures[1], figures[2], slowdown)
--- a/peridottrack/httpstores.py
+++ b/peridottrack/httpstores.py
@@ -16,7 +16,9 @@
 
 import aiohttp
 
+from peridottrack import log
 from peridottrack.exceptions import StoreUnavailable
+from peridottrack.jsondata import decode_json, require_object
 from peridottrack.types import (
     ABSENT_VERSION,
     Page,
@@ -28,6 +30,8 @@
     WriterId,
 )
 
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+"""Exceptions of reading an item or a response whose parts are missing or of another type."""
 TARGET_HEADER = "X-Amz-Target"
 TARGET_PREFIX = "DynamoDB_20120810."
 JSON_TYPE = "application/x-amz-json-1.0"
@@ -90,7 +94,12 @@
         """Read one row with a strongly consistent read."""
         body = {"Key": key_to_item(key), "ConsistentRead": True}
         response = await self._read("GetItem", body)
-        return item_to_row(response["Item"]) if "Item" in response else None
+        if "Item" not in response:
+            return None
+        try:
+            return item_to_row(response["Item"])
+        except UNREADABLE as error:
+            raise StoreUnavailable(f"GetItem: {error!r}") from error
 
     async def query(self, partition: str, after: str | None = None, limit: int = 100) -> Page:
         """Read rows of a partition in order."""
@@ -103,9 +112,12 @@
         if after is not None:
             body["ExclusiveStartKey"] = key_to_item(RowKey(partition, after))
         response = await self._read("Query", body)
-        rows = [item_to_row(item) for item in response["Items"]]
-        last = response.get("LastEvaluatedKey")
-        return Page(rows, item_to_key(last).sort if last else None)
+        try:
+            last = response.get("LastEvaluatedKey")
+            rows = [row for item in response["Items"] if (row := _readable_row(item)) is not None]
+            return Page(rows, item_to_key(last).sort if last else None)
+        except UNREADABLE as error:
+            raise StoreUnavailable(f"Query: {error!r}") from error
 
     async def transact(self, writes: Sequence[Write], writer: WriterId) -> WriteOutcome:
         """Apply all writes or none."""
@@ -147,7 +159,16 @@
         async with self._session.post(
             self._url, data=data, headers=headers, timeout=self._timeout
         ) as response:
-            return response.status, json.loads(await response.read())
+            return response.status, require_object(decode_json(await response.read()), "body")
+
+
+def _readable_row(item: Any) -> Row | None:
+    """Return the row that an item holds, None if it cannot be read."""
+    try:
+        return item_to_row(item)
+    except UNREADABLE as error:
+        log.warning("row cannot be read", error=repr(error)[:200])
+        return None
 
 
 def _transact_outcome(status: int, response: Mapping[str, Any]) -> WriteOutcome:
@@ -158,7 +179,12 @@
         return WriteOutcome.REFUSED
     if error != "TransactionCanceledException":
         return WriteOutcome.UNKNOWN
-    codes = {reason.get("Code") for reason in response.get("CancellationReasons", [])}
+    reasons = response.get("CancellationReasons")
+    codes = {
+        reason.get("Code")
+        for reason in (reasons if isinstance(reasons, list) else [])
+        if isinstance(reason, dict)
+    }
     if "ConditionalCheckFailed" in codes:
         return WriteOutcome.CONFLICT
     # Cancelled because of contention or throttling: nothing was written.
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -9,13 +9,14 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import web
 
 from peridottrack import log
+from peridottrack.background import keep_running
 from peridottrack.clock import LoopClock
 from peridottrack.config import MeshSettings, parse_endpoint
 from peridottrack.controllers.confirmation import ConfirmationController
@@ -171,13 +172,16 @@
             await self._listen(self._metrics_app(), self.settings.metrics_address)
         callers = parse_endpoint(self.settings.callers_address)
         await self.ingress.start(callers.host, callers.port)
-        self._spawn(self.members.run())
-        self._spawn(self.links.run())
-        self._spawn(self._flush_log())
-        self._spawn(self._join())
-        self._spawn(self.document_follower.run())
-        self._spawn(self.gate_controller.run())
-        self._spawn(self.confirmation.run())
+        for work in (
+            self.members.run,
+            self.links.run,
+            self._flush_log,
+            self._join,
+            self.document_follower.run,
+            self.gate_controller.run,
+            self.confirmation.run,
+        ):
+            self._tasks.append(asyncio.create_task(keep_running(work)))
         log.event("node started", node=self.settings.gossip_address, service=self.settings.service)
 
     def apply_settings(self, settings: MeshSettings) -> None:
@@ -488,6 +492,3 @@
         app.router.add_get("/metrics", get_metrics)
         app.router.add_get("/dump", get_dump)
         return app
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -18,6 +18,7 @@
     admin_app,
     announce_app,
 )
+from peridottrack.background import keep_running
 from peridottrack.bucket import LoadReportBudget
 from peridottrack.call import build_chain
 from peridottrack.callerserver import CallerListener, CallerServer
@@ -86,18 +87,18 @@
         self._build()
         gossip = parse_endpoint(self.settings.gossip_address)
         await self.datagrams.start(gossip.host, gossip.port)
-        self._spawn(self.members.run())
+        self._spawn(self.members.run)
         await self._listen_admin()
         seeds = [NodeId(seed) for seed in self.settings.seeds]
         await self.members.join(seeds)
         if not await self.document.poll():
             await self.document.fetch_from_peers([peer.node for peer in self.members.peers()])
-        self._spawn(self.document.run())
-        self._spawn(self.announce.run())
-        self._spawn(self.leaving.run())
-        self._spawn(self.load_reports.run())
+        self._spawn(self.document.run)
+        self._spawn(self.announce.run)
+        self._spawn(self.leaving.run)
+        self._spawn(self.load_reports.run)
         self.load_reports.start_detector()
-        self._spawn(self._wake_queues())
+        self._spawn(self._wake_queues)
         await self.caller_listener.start(parse_endpoint(self.settings.callers_address))
         log.event("node started", node=self.settings.gossip_address)
 
@@ -293,8 +294,8 @@
         self._runners.append(runner)
         await web.TCPSite(runner, endpoint.host, endpoint.port).start()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(work)))
 
     async def _wake_queues(self) -> None:
         while True:
--- a/peridottrack/platform/announce.py
+++ b/peridottrack/platform/announce.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 
 from peridottrack import log
+from peridottrack.config import parse_endpoint
 from peridottrack.controllers.localinstance import (
     UNKNOWN_START,
     InstanceReport,
     LocalInstanceController,
     ReportResult,
 )
+from peridottrack.jsondata import (
+    MAX_INT64,
+    MAX_UINT16,
+    decode_json,
+    require_integer,
+    require_number,
+    require_object,
+    require_text,
+)
 from peridottrack.types import InstanceId, InstanceState, ServiceName
 
 STATE_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
@@ -26,6 +35,7 @@
     ReportResult.FOREIGN: 400,
 }
 MAX_BODY_BYTES = 64 << 10
+MAX_WARMUP_S = 1e6
 
 
 def read_report(instance: str, body: bytes) -> InstanceReport:
@@ -36,26 +46,24 @@
     ValueError
         If a field is missing or has the wrong type, or the state is unknown.
     """
-    data = _require_type(json.loads(body), dict, "body")
-    info = _require_type(data.get("node_info"), dict, "node_info")
-    status = _require_type(data.get("status"), dict, "status")
-    _require_type(data.get("address"), str, "address")
-    _require_type(info.get("zone"), str, "zone")
-    _require_type(info.get("version"), str, "version")
-    state = _require_type(status.get("state"), str, "state")
+    data = require_object(decode_json(body), "body")
+    info = require_object(data.get("node_info"), "node_info")
+    status = require_object(data.get("status"), "status")
+    if not parse_endpoint(require_text(data.get("address"), "address")).port:
+        raise ValueError("address has no port")
+    require_text(info.get("zone"), "zone")
+    require_text(info.get("version"), "version")
+    state = require_text(status.get("state"), "state")
     if state not in STATE_BY_NAME:
         raise ValueError(f"state {state!r} is not known")
-    slots = _require_type(info.get("max_concurrent"), int, "max_concurrent")
-    if slots < 1:
-        raise ValueError(f"max_concurrent {slots} is below 1")
     return InstanceReport(
-        InstanceId(instance),
-        ServiceName(_require_type(info.get("service"), str, "service")),
-        slots,
+        _instance_id(instance),
+        ServiceName(require_text(info.get("service"), "service")),
+        require_integer(info.get("max_concurrent"), "max_concurrent", 1, MAX_UINT16),
         STATE_BY_NAME[state],
-        _require_type(status.get("sequence"), int, "sequence"),
+        require_integer(status.get("sequence"), "sequence", 0, MAX_INT64),
         _start_time(data),
-        float(_require_type(status.get("warmup_left_s", 0), (int, float), "warmup_left_s")),
+        require_number(status.get("warmup_left_s", 0), "warmup_left_s", 0, MAX_WARMUP_S),
     )
 
 
@@ -67,18 +75,19 @@
     ValueError
         If the body is neither empty nor an object with a valid start time.
     """
-    return _start_time(_require_type(json.loads(body), dict, "body")) if body else UNKNOWN_START
+    return _start_time(require_object(decode_json(body), "body")) if body else UNKNOWN_START
 
 
 def _start_time(data: dict[str, Any]) -> int:
     # Some platforms do not send the field `born`.
-    return int(_require_type(data.get("born", UNKNOWN_START), int, "born"))
+    return require_integer(data.get("born", UNKNOWN_START), "born", 0, MAX_INT64)
 
 
-def _require_type(value: Any, kind: Any, name: str) -> Any:
-    if isinstance(value, bool) or not isinstance(value, kind):
-        raise ValueError(f"{name} is missing or of another type")
-    return value
+def _instance_id(text: str) -> InstanceId:
+    """Return the id of an instance, which is also sent in a header."""
+    if not (text.isascii() and text.isprintable()) or " " in text:
+        raise ValueError("the id of the instance has characters other than printable ASCII")
+    return InstanceId(require_text(text, "id"))
 
 
 def announce_app(local_instance: LocalInstanceController) -> web.Application:
@@ -94,11 +103,12 @@
 
     async def deregister(request: web.Request) -> web.Response:
         try:
+            instance = _instance_id(request.match_info["id"])
             start_time = read_deregistration(await request.read())
         except ValueError as error:
             log.warning("announcement refused", error=str(error)[:200])
             return web.json_response({"error": str(error)[:200]}, status=400)
-        local_instance.record_leaving(InstanceId(request.match_info["id"]), start_time)
+        local_instance.record_leaving(instance, start_time)
         return web.json_response({})
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
--- a/peridottrack/platform/document.py
+++ b/peridottrack/platform/document.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from peridottrack.exceptions import InvalidDocument
+from peridottrack.jsondata import (
+    MAX_INT64,
+    decode_json,
+    require_integer,
+    require_list,
+    require_number,
+    require_text,
+)
 from peridottrack.routing import CallerLimits, Route, RouteTable, ServiceRule, Share
 from peridottrack.types import ServiceName
 
+MAX_PATH_LENGTH = 8 << 10
+MAX_TIMEOUT_S = 1e6
+"""Longest time that a timer is set to."""
+MAX_PRIORITY = 0xFF
+MAX_WEIGHT = 1e12
 IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False}
 
 
@@ -21,50 +33,63 @@
         If the document cannot be decoded or a route is invalid.
     """
     try:
-        config = json.loads(data)
+        config = decode_json(data)
         services = {
-            ServiceName(row["name"]): ServiceRule(row["health_path"], int(row["max_connections"]))
+            ServiceName(require_text(row["name"], "name")): ServiceRule(
+                require_text(row["health_path"], "health_path", MAX_PATH_LENGTH),
+                require_integer(row["max_connections"], "max_connections", 0, MAX_INT64),
+            )
             for row in _rows(config["services"])
         }
         routes = [_route(row, services) for row in _rows(config["routes"])]
-        return RouteTable(int(config["version"]), routes, services, _limits(config.get("limits")))
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        version = require_integer(config["version"], "version", 0, MAX_INT64)
+        return RouteTable(version, routes, services, _limits(config.get("limits")))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise InvalidDocument([f"{type(error).__name__}: {error}"]) from None
 
 
 def _rows(table: Any) -> list[dict[str, Any]]:
     """Return the rows as dicts by column name; a null value means that the field is absent."""
-    columns = table["columns"]
+    columns = require_list(table["columns"], "columns")
     return [
         {name: value for name, value in zip(columns, row, strict=True) if value is not None}
-        for row in table["rows"]
+        for row in require_list(table["rows"], "rows")
     ]
 
 
 def _route(row: dict[str, Any], services: dict[ServiceName, ServiceRule]) -> Route:
     split = row.get("split") or [{"service": row["service"], "weight": 1}]
-    shares = tuple(Share(ServiceName(part["service"]), float(part["weight"])) for part in split)
+    shares = tuple(
+        Share(
+            ServiceName(require_text(part["service"], "service")),
+            require_number(part["weight"], "weight", 0, MAX_WEIGHT),
+        )
+        for part in require_list(split, "split")
+    )
     unknown = [share.service for share in shares if share.service not in services]
-    prefix = row["prefix"]
+    prefix = require_text(row["prefix"], "prefix", MAX_PATH_LENGTH)
+    host = require_text(row["host"], "host", MAX_PATH_LENGTH)
     if unknown:
         raise ValueError(f"route {row['name']}: service {unknown[0]} is not defined")
-    if min(share.weight for share in shares) < 0 or not sum(share.weight for share in shares):
-        raise ValueError(f"route {row['name']}: weights must not be negative or all zero")
-    if not row["host"] or not prefix.startswith("/") or not prefix.endswith("/"):
+    if not sum(share.weight for share in shares):
+        raise ValueError(f"route {row['name']}: weights must not be all zero")
+    if not host or not prefix.startswith("/") or not prefix.endswith("/"):
         raise ValueError(f"route {row['name']}: host or prefix is malformed")
-    timeout_s, attempts = float(row["timeout_s"]), int(row["attempts"])
-    if timeout_s <= 0 or attempts < 1:
-        raise ValueError(f"route {row['name']}: timeout and attempts must be positive")
+    timeout_s = require_number(row["timeout_s"], "timeout_s", 0, MAX_TIMEOUT_S)
+    if timeout_s <= 0:
+        raise ValueError(f"route {row['name']}: timeout must be positive")
     return Route(
-        row["name"],
-        row["host"].lower(),
+        require_text(row["name"], "name"),
+        host.lower(),
         prefix,
-        IDEMPOTENT_BY_KIND[row["kind"]],
+        IDEMPOTENT_BY_KIND[require_text(row["kind"], "kind")],
         shares,
         timeout_s,
-        float(row.get("target_latency_s", timeout_s)),
-        int(row.get("priority", 0)),
-        attempts,
+        require_number(
+            row.get("target_latency_s", timeout_s), "target_latency_s", 0, MAX_TIMEOUT_S
+        ),
+        require_integer(row.get("priority", 0), "priority", 0, MAX_PRIORITY),
+        require_integer(row["attempts"], "attempts", 1, MAX_INT64),
     )
 
 
@@ -72,8 +97,8 @@
     if config is None:
         return CallerLimits()
     return CallerLimits(
-        int(config["max_header_bytes"]),
-        int(config["max_body_bytes"]),
-        float(config["header_timeout_s"]),
-        float(config["idle_timeout_s"]),
+        require_integer(config["max_header_bytes"], "max_header_bytes", 1, MAX_INT64),
+        require_integer(config["max_body_bytes"], "max_body_bytes", 0, MAX_INT64),
+        require_number(config["header_timeout_s"], "header_timeout_s", 0, MAX_TIMEOUT_S),
+        require_number(config["idle_timeout_s"], "idle_timeout_s", 0, MAX_TIMEOUT_S),
     )
--- a/peridottrack/platform/store.py
+++ b/peridottrack/platform/store.py
@@ -6,14 +6,23 @@
 import json
 import socket
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 
 from peridottrack import log
-from peridottrack.controllers.members import update_from_data, update_to_data
+from peridottrack.controllers.members import UNREADABLE_ENTRY, update_from_entry, update_to_data
 from peridottrack.documentsource import DocumentUpdate
 from peridottrack.exceptions import HistoryTruncated, StoreUnavailable
+from peridottrack.jsondata import (
+    MAX_INT64,
+    MAX_TEXT_LENGTH,
+    decode_json,
+    require_integer,
+    require_list,
+    require_object,
+)
 from peridottrack.messages import MemberUpdate
 from peridottrack.types import NodeId
 
@@ -69,21 +78,22 @@
         body: Any = None,
         wait_s: float = 0.0,
     ) -> tuple[int, Any]:
-        """Make one call; return status and decoded body.
+        """Make one call; return the status and, if that is 200, the decoded body.
 
         Raises
         ------
         StoreUnavailable
-            If no response arrived, or the status is an error other than 412 (precondition
-            failed) or 410 (history truncated).
+            If no response arrived or its body cannot be decoded, or the status is an error other
+            than 412 (precondition failed) or 410 (history truncated).
         """
         timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
         try:
             async with self._session.request(
                 method, f"{self._url}{path}", params=query, json=body, timeout=timeout
             ) as response:
-                data = json.loads(await response.read() or b"null")
                 status = response.status
+                body = await response.read()
+                data = require_object(decode_json(body), "body") if status == 200 else None
                 self.era = int(response.headers.get(ERA_HEADER, "0"))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             self._count(operation, "unanswered")
@@ -93,6 +103,58 @@
             raise StoreUnavailable(f"{operation}: status {status}")
         return status, data
 
+    async def read_page(
+        self, operation: str, path: str, query: dict[str, str], wait_s: float = 0.0
+    ) -> _Page:
+        """Read rows.
+
+        Raises
+        ------
+        HistoryTruncated
+            If the changes after the requested position are no longer available.
+        StoreUnavailable
+            As `call` does, or if the response is not a page of rows.
+        """
+        status, data = await self.call(operation, "GET", path, query=query, wait_s=wait_s)
+        if status == GONE_STATUS:
+            raise HistoryTruncated(f"{operation}: the requested changes are no longer available")
+        try:
+            return _read_page(data)
+        except (ValueError, AttributeError) as error:
+            raise StoreUnavailable(f"{operation}: {error}") from error
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Rows of one response.
+
+    Parameters
+    ----------
+    position
+        Version of the newest row of the table.
+    truncated
+        Whether more rows follow.
+    """
+
+    rows: list[dict[str, Any]]
+    position: int
+    truncated: bool
+
+    def next_key(self) -> str:
+        """Return the lowest key above that of the last row."""
+        return str(self.rows[-1]["key"]) + "\0"
+
+
+def _read_page(data: Any) -> _Page:
+    rows = require_list(data.get("rows"), "rows")
+    position = require_integer(data.get("ver"), "ver", 0, MAX_INT64)
+    page = _Page(rows, position, bool(data.get("truncated")))
+    if not all(isinstance(row, dict) for row in rows):
+        raise ValueError("a row is not an object")
+    if page.truncated and not (rows and isinstance(rows[-1].get("key"), str)):
+        raise ValueError("rows are missing")
+    return page
+
 
 class StoreDirectory:
     """`Directory` with one row for each node."""
@@ -110,16 +172,16 @@
         updates: list[MemberUpdate] = []
         query = {"table": NODES_TABLE, "part": ""}
         while True:
-            _, page = await self._client.call("nodes", "GET", "/v1/rows-get", query=query)
-            for row in page["rows"]:
+            page = await self._client.read_page("nodes", "/v1/rows-get", query)
+            for row in page.rows:
                 try:
-                    updates.append(update_from_data(json.loads(base64.b64decode(row["value"]))))
-                except (ValueError, KeyError, TypeError) as error:
-                    log.warning("entry of a node cannot be read", key=row["key"], error=repr(error))
-            if not page.get("truncated"):
+                    updates.append(update_from_entry(_value_of(row)))
+                except ValueError as error:
+                    key = str(row.get("key"))[:MAX_TEXT_LENGTH]
+                    log.warning(UNREADABLE_ENTRY, key=key, error=str(error)[:200])
+            if not page.truncated:
                 return updates
-            # The lowest key above that of the last row.
-            query["from"] = page["rows"][-1]["key"] + "\0"
+            query["from"] = page.next_key()
 
     async def write(self, member: MemberUpdate) -> bool:
         """Write the node's own entry; return whether the store accepted it."""
@@ -162,8 +224,8 @@
     async def read(self) -> DocumentUpdate:
         """Return the latest document."""
         query = {"table": OPERATORS_TABLE, "part": ""}
-        _, page = await self._client.call("document", "GET", "/v1/rows-get", query=query)
-        return DocumentUpdate(int(page["ver"]), _document_from(page), self._client.era)
+        page = await self._client.read_page("document", "/v1/rows-get", query)
+        return DocumentUpdate(page.position, _document_from(page), self._client.era)
 
     async def follow(self, position: int) -> DocumentUpdate:
         """Wait for a change of the operators' table; the wait may end without one."""
@@ -172,23 +234,29 @@
             "after": str(position),
             "wait_ms": str(int(FEED_WAIT_S * 1000)),
         }
-        status, page = await self._client.call(
-            "feed", "GET", "/v1/rows-feed", query=query, wait_s=FEED_WAIT_S
-        )
-        if status == GONE_STATUS:
-            raise HistoryTruncated(f"changes after position {position} are no longer available")
-        return DocumentUpdate(int(page["ver"]), _document_from(page), self._client.era)
+        page = await self._client.read_page("feed", "/v1/rows-feed", query, wait_s=FEED_WAIT_S)
+        return DocumentUpdate(page.position, _document_from(page), self._client.era)
 
 
-def _document_from(page: Any) -> bytes | None:
+def _document_from(page: _Page) -> bytes | None:
     """Return the document in a page, None if it has none; a feed page may hold several versions."""
     value = None
-    for row in page["rows"]:
-        if row["key"] == DOCUMENT_KEY and not row.get("removed"):
-            value = base64.b64decode(row["value"])
+    for row in page.rows:
+        if row.get("key") == DOCUMENT_KEY and not row.get("removed"):
+            try:
+                value = _value_of(row)
+            except ValueError as error:
+                log.warning("document refused", origin="store", error=str(error)[:300])
     return value
 
 
+def _value_of(row: dict[str, Any]) -> bytes:
+    value = row.get("value")
+    if not isinstance(value, str):
+        raise ValueError("value is missing or not a text")
+    return base64.b64decode(value, validate=True)
+
+
 def store_socket(address: Any) -> socket.socket:
     """Create a socket that detects within about 3 seconds that the store is unreachable."""
     family, kind, protocol, _, _ = address
--- a/peridottrack/revisions.py
+++ b/peridottrack/revisions.py
@@ -25,6 +25,14 @@
     section_from_data,
 )
 from peridottrack.exceptions import AcceptConflict, AcceptOutcomeUnknown, NotOwner, StoreUnavailable
+from peridottrack.jsondata import (
+    MAX_INT64,
+    decode_json,
+    require_integer,
+    require_list,
+    require_object,
+    require_text,
+)
 from peridottrack.store import new_writer_id, scan, transact_settled
 from peridottrack.types import (
     ABSENT_VERSION,
@@ -142,20 +150,46 @@
 
 
 def decode_head_value(value: bytes, row_version: int = ABSENT_VERSION) -> DocumentHead:
-    """Deserialize what `DocumentHead.encode` returned."""
-    data = json.loads(value)
+    """Deserialize what `DocumentHead.encode` returned.
+
+    Raises
+    ------
+    ValueError
+        If the value cannot be read.
+    """
+    data = require_object(decode_json(value), "head")
+    sections = require_object(data.get("sections"), "sections")
+    # Rows of an earlier release name neither writers nor a version.
+    writers = require_object(data.get("writers", {}), "writers")
     return DocumentHead(
-        # Rows of an earlier release name neither.
-        data.get("version", row_version),
-        {SectionName(name): version for name, version in data["sections"].items()},
-        {SectionName(name): tuple(ids) for name, ids in data.get("writers", {}).items()},
+        require_integer(data.get("version", row_version), "version", 0, MAX_INT64),
+        {
+            SectionName(name): require_integer(version, "section version", 0, MAX_INT64)
+            for name, version in sections.items()
+        },
+        {
+            SectionName(name): tuple(
+                require_text(each, "writer") for each in require_list(ids, name)
+            )
+            for name, ids in writers.items()
+        },
         row_version,
     )
 
 
 def decode_revision(section: SectionName, version: int, row: Row) -> Revision:
-    """Deserialize a revision's row."""
-    return Revision(section, version, **json.loads(row.value))
+    """Deserialize a revision's row.
+
+    Raises
+    ------
+    ValueError
+        If the row cannot be read.
+    """
+    data = require_object(decode_json(row.value), "revision")
+    try:
+        return Revision(section, version, **data)
+    except TypeError as error:
+        raise ValueError(str(error)) from None
 
 
 async def read_head(table: TableStore) -> DocumentHead:
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -24,6 +24,8 @@
 """How long an idle connection is kept if the instance does not announce a timeout."""
 IDLE_MARGIN = 0.8
 """Share of the instance's Keep-Alive timeout after which a connection is not reused."""
+MAX_TIMEOUT_DIGITS = 9
+"""Most digits of the instance's Keep-Alive timeout; a longer number is not taken for one."""
 MAX_IDLE_AT_MOST_ONCE_S = 1.0
 """A connection idle for longer is not used for a request that may run at most once."""
 READ_BYTES = 32 << 10
@@ -251,7 +253,7 @@
     def _apply_keep_alive(self, value: bytes | None) -> None:
         for part in (value or b"").split(b","):
             key, _, number = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
+            if key.lower() == b"timeout" and number.isdigit() and len(number) <= MAX_TIMEOUT_DIGITS:
                 self.idle_limit_s = int(number) * IDLE_MARGIN
 
     def reject(self, reason: str) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -55,6 +56,12 @@
     await cluster.stop()
 
 
+@pytest.fixture
+def seeded_random():
+    """Random numbers that are the same in every run."""
+    return random.Random(36)
+
+
 @pytest.fixture
 async def world():
     """Two hosts on the users' platform."""
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -83,6 +83,10 @@
         also after a version that it does not have.
     era
         Value of the header Store-Era in all responses; rises with each restored copy.
+    page_rows
+        Most rows in one response.
+    odd_bodies
+        Bodies of the next responses to reads, in place of their own.
     """
 
     def __init__(self) -> None:
@@ -94,6 +98,8 @@
         self.silent = False
         self.oldest_version = 0
         self.era = 1
+        self.odd_bodies: list[bytes] = []
+        self.page_rows = 2
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
         self.url = ""
@@ -154,13 +160,16 @@
             return web.json_response({}, status=self.status, headers=headers)
         if self.lose_responses and request.transport is not None:
             request.transport.abort()
+        if call != "tx" and self.odd_bodies:
+            body = self.odd_bodies.pop(0)
+            return web.Response(body=body, headers=headers, content_type="application/json")
         return web.json_response(data, status=status, headers=headers)
 
     async def _get(self, request: web.Request) -> web.Response:
         table, start = request.query["table"], request.query.get("from", "")
         rows = [row for (name, _, key), row in sorted(self.rows.items()) if name == table]
         rows = [row for row in rows if row["key"] >= start]
-        page, truncated = rows[:2], len(rows) > 2
+        page, truncated = rows[: self.page_rows], len(rows) > self.page_rows
         data = {"rows": page, "truncated": truncated, "ver": self.ver, "now_s": 1.0}
         return await self._respond(request, f"get {table}", data)
 
