node: a response to an earlier call on a kept connection is not taken for this call's

Cause: the HTTP client takes the next bytes on a kept connection for the response to the request sent last; the dispatcher compared nothing.

Change: a response with another Peridot-Request-Id is discarded; a refusal without an id is not believed on a connection that has carried another request (recorded by a trace of the client). The call is sent again on a new connection, where the first response is certainly its own, and counts as one that may have run.

Open: a success without an id on a kept connection.

--- a/peridottrack/filters/dispatch.py
+++ b/peridottrack/filters/dispatch.py
@@ -4,11 +4,14 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from types import SimpleNamespace
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from peridottrack import log
 from peridottrack.call import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
@@ -47,6 +50,35 @@
         raise BrokeOff(type(error).__name__) from error
 
 
+@dataclass(slots=True)
+class ConnectionUse:
+    """How a request was sent.
+
+    Parameters
+    ----------
+    reused
+        Whether its connection had carried another request before.
+    """
+
+    reused: bool = False
+
+
+def trace_reuse() -> aiohttp.TraceConfig:
+    """Return a trace configuration that records the `ConnectionUse` of each request."""
+
+    async def record(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionReuseconnParams,
+    ) -> None:
+        if isinstance(context.trace_request_ctx, ConnectionUse):
+            context.trace_request_ctx.reused = True
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_reuseconn.append(record)
+    return config
+
+
 def check_deadline(call: Call, now: float) -> None:
     """Refuse to send a request after its deadline.
 
@@ -70,6 +102,7 @@
     ----------
     keepalive_session, one_shot_session
         Client sessions with keep-alive connections and with a new connection for each request.
+        The first one has the trace configuration of `trace_reuse`.
         Non-idempotent calls use a new one: if the upstream closed a reused connection just as the
         request is sent, it would be unknown whether the request ran.
     on_statements
@@ -111,8 +144,16 @@
     async def _send(self, call: Call, instance: Instance) -> aiohttp.ClientResponse:
         call.progress.dispatched.append(instance.instance_id)
         session = self._keepalive_session if call.idempotent else self._one_shot_session
+        use = ConnectionUse()
         try:
-            return await self._request(session, call, instance)
+            response = await self._request(session, call, instance, use)
+            if _belongs_to(call, response, use):
+                return response
+            response.close()
+            log.warning("response of another call", instance=instance.instance_id)
+            if not call.replayable:
+                call.progress.outcome_unknown = True
+                raise RequestError(ErrorKind.UPSTREAM_ANSWER_INVALID)
         except NotConnected as error:
             call.progress.dispatched.remove(instance.instance_id)
             raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE, str(error)) from None
@@ -127,17 +168,22 @@
     async def _resend(self, call: Call, instance: Instance) -> aiohttp.ClientResponse:
         """Resend on a new connection, to distinguish a stale connection from a crash.
 
-        The upstream may close a keep-alive connection just as a request is sent on it. If a new
-        connection works, the instance did not crash.
+        The upstream may close a keep-alive connection just as a request is sent on it, or send a
+        response to an earlier call there. If a new connection works, the instance did not crash.
         """
         call.progress.outcome_unknown = True
         try:
-            return await self._request(self._one_shot_session, call, instance)
+            use = ConnectionUse()
+            response = await self._request(self._one_shot_session, call, instance, use)
         except (NotConnected, BrokeOff) as error:
             raise self._disconnected(call, error) from None
+        if not _belongs_to(call, response, use):
+            response.close()
+            raise RequestError(ErrorKind.UPSTREAM_ANSWER_INVALID)
+        return response
 
     async def _request(
-        self, session: aiohttp.ClientSession, call: Call, instance: Instance
+        self, session: aiohttp.ClientSession, call: Call, instance: Instance, use: ConnectionUse
     ) -> aiohttp.ClientResponse:
         return await session.request(
             call.request.method,
@@ -145,6 +191,7 @@
             headers=self._headers(call),
             data=self._body(call),
             allow_redirects=False,
+            trace_request_ctx=use,
         )
 
     def _headers(self, call: Call) -> CIMultiDict[str]:
@@ -163,9 +210,10 @@
         return _bounded_body(call)
 
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> Response:
-        if response.headers.get(RAN_HEADER) == Ran.NO.value and response.status >= 400:
+        if _is_refusal(response):
             response.release()
-            call.progress.dispatched.remove(call.chosen.instance.instance_id)  # type: ignore
+            if not call.progress.outcome_unknown:
+                call.progress.dispatched.remove(call.chosen.instance.instance_id)  # type: ignore
             raise RequestError(ErrorKind.UPSTREAM_SHED)
         headers = end_to_end_headers(response.headers)
         if call.request.method == "HEAD" or response.status in BODILESS_STATUSES:
@@ -208,6 +256,22 @@
         return RequestError(ErrorKind.UPSTREAM_FAILED, type(error).__name__)
 
 
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get(RAN_HEADER) == Ran.NO.value and response.status >= 400
+
+
+def _belongs_to(call: Call, response: aiohttp.ClientResponse, use: ConnectionUse) -> bool:
+    """Return whether a response is certainly the one to this call.
+
+    A faulty upstream may repeat an earlier response on a kept connection. The id tells, if the
+    upstream echoes it; without an id, a refusal counts only on a new connection.
+    """
+    echoed_id = response.headers.get(REQUEST_ID_HEADER)
+    if echoed_id is not None:
+        return echoed_id == call.request_id
+    return not (use.reused and _is_refusal(response))
+
+
 async def _bounded_body(call: Call) -> AsyncIterator[bytes]:
     assert call.route is not None
     remaining = call.route.max_body_bytes
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -43,7 +43,7 @@
 from peridottrack.filters.choice import ChoiceFilter
 from peridottrack.filters.claim import ClaimFilter
 from peridottrack.filters.deadline import deadline_filter
-from peridottrack.filters.dispatch import Dispatcher, send_once
+from peridottrack.filters.dispatch import Dispatcher, send_once, trace_reuse
 from peridottrack.filters.quarantine import QuarantineFilter
 from peridottrack.filters.retry import RetryFilter
 from peridottrack.filters.route import RouteFilter
@@ -234,7 +234,9 @@
 
     def _build_caller_server(self) -> None:
         pooled = self._session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=UPSTREAM_KEEPALIVE_S), send_once
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=UPSTREAM_KEEPALIVE_S),
+            send_once,
+            trace_configs=[trace_reuse()],
         )
         unpooled = self._session(aiohttp.TCPConnector(limit=0, force_close=True), send_once)
         self.claim_filter = ClaimFilter(self.claims)
@@ -262,11 +264,15 @@
         self.caller_listener = CallerListener(caller_server)
 
     def _session(
-        self, connector: aiohttp.TCPConnector, *middlewares: aiohttp.ClientMiddlewareType
+        self,
+        connector: aiohttp.TCPConnector,
+        *middlewares: aiohttp.ClientMiddlewareType,
+        trace_configs: list[aiohttp.TraceConfig] | None = None,
     ) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
             connector=connector,
             middlewares=middlewares,
+            trace_configs=trace_configs,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
