Links: what a closed link knew has a type; a test that it outlives the link

Cause: a reader had to infer what the pair of a leaving instance and a time in `LinksController` meant, and no test covered it. Change: `_ClosedLink`; two comments say why instead of what; a test that the leaving is remembered while its node is no member.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from peridottrack.frames import DocumentFrame, DocumentRequest, GateLoad, Hello, LeftInstance
 from peridottrack.gateroute import GateRoute, LocalRoute
@@ -35,6 +36,14 @@
 """Time for which a link that is opened for a document only is kept."""
 
 
+@dataclass(frozen=True, slots=True)
+class _ClosedLink:
+    """What a closed link knew of its peer's instance."""
+
+    left_instance: LeftInstance
+    closed_at: float
+
+
 class LinksController:
     """Opens links to the selected members and reports the local gate's load to others."""
 
@@ -66,8 +75,7 @@
         # Links that get no new requests, of removed members and of those no longer selected.
         self._task_by_removed_link: dict[Link, asyncio.Task[None]] = {}
         self._node_by_removed_link: dict[Link, NodeId] = {}
-        # By removed node; with the time when its link was closed.
-        self._left_instance_by_node: dict[NodeId, tuple[LeftInstance, float]] = {}
+        self._closed_link_by_node: dict[NodeId, _ClosedLink] = {}
         self._report_scheduled = False
         self._allowance = float(REPORT_BYTES_PER_S)
         self._allowance_updated_at = clock.now()
@@ -99,7 +107,7 @@
         for node in list(self._link_by_node):
             if node not in update_by_node:
                 removed = self._link_by_node.pop(node)
-                self._remember_left_instance(node, removed)
+                self._remember_closed(node, removed)
                 self._task_by_removed_link[removed] = self._task_by_node.pop(node)
                 self._node_by_removed_link[removed] = node
         self._close_removed()
@@ -108,22 +116,22 @@
             if link is None:
                 link = Link(update.admin, update.domain, self._make_hello, self._hooks, self._clock)
                 link.on_first_load = self._first_load.set
-                link.left_instance, _ = self._left_instance_by_node.pop(node, (None, 0.0))
+                closed = self._closed_link_by_node.pop(node, None)
+                link.left_instance = closed.left_instance if closed is not None else None
                 self._link_by_node[node] = link
                 self._task_by_node[node] = asyncio.create_task(link.run())
             elif self._incarnation_by_node.get(node) != update.incarnation:
                 link.reconnect_now()
             self._incarnation_by_node[node] = update.incarnation
 
-    def _remember_left_instance(self, node: NodeId, link: Link) -> None:
-        """Keep what a removed link knows for one that replaces it."""
+    def _remember_closed(self, node: NodeId, link: Link) -> None:
+        """Keep what a closed link knows for one that replaces it."""
         now = self._clock.now()
-        remembered = self._left_instance_by_node
-        for other, (_, known_at) in list(remembered.items()):
-            if now - known_at > LEAVING_MEMORY_S:
-                del remembered[other]
+        for other, closed in list(self._closed_link_by_node.items()):
+            if now - closed.closed_at > LEAVING_MEMORY_S:
+                del self._closed_link_by_node[other]
         if link.left_instance is not None:
-            remembered[node] = link.left_instance, now
+            self._closed_link_by_node[node] = _ClosedLink(link.left_instance, now)
 
     def _close_removed(self) -> None:
         for link in list(self._task_by_removed_link):
--- a/peridottrack/controllers/localinstance.py
+++ b/peridottrack/controllers/localinstance.py
@@ -122,7 +122,7 @@
     async def receive(self, report: InstanceReport) -> ReportResult:
         """Apply a report; if it is held, wait for a short time until it is confirmed.
 
-        So the instance gets requests once its report is acknowledged.
+        The report is acknowledged after that, and then a sound instance already gets requests.
         """
         result = self.apply(report)
         if result is ReportResult.HELD:
@@ -273,7 +273,7 @@
     def _open(self, report: InstanceReport) -> None:
         self._last = self._confirmed = report
         self._held = None
-        # Otherwise an older incarnation with an unknown start time would hold its next reports.
+        # The next reports of this incarnation are no longer compared with the one that has left.
         self._start_time_by_left_instance.pop(report.instance, None)
         self._gate.open(
             report.instance,
--- a/tests/test_restarted_gate.py
+++ b/tests/test_restarted_gate.py
@@ -8,6 +8,7 @@
 from mesh_world import Host, World
 from test_mesh import open_only, routes, wait_until
 
+from peridottrack.frames import LeftInstance
 from peridottrack.mesh import MeshNode
 from peridottrack.platform import ADAPTER
 
@@ -216,3 +217,14 @@
         for caller in world.hosts:
             while (await world.call(caller))[0] != 200:
                 await asyncio.sleep(0.01)
+
+
+# Guards against a leaving that is forgotten with the link of a node that the membership removed.
+async def test_leaving_is_remembered_while_its_node_is_no_member(world, leaving):
+    await leaving.announce(world.session, "ready", born=1_000)
+    await say_leaving(world, leaving, "deregistered")
+    links = world.hosts[0].node.links
+    member = leaving.node.members.membership.local_member
+    links.set_members([])
+    links.set_members([member])
+    assert links._link_by_node[member.node].left_instance == LeftInstance("i-1", 1_000)
