Links: only a leaving is reported at once, other closings as before

Cause: since each change while the gate was closed, also during an ejection, went to all nodes at once instead of in one report for all changes of a turn of the loop. Change: the condition is the leaving of the instance. Result: tests/test_restarted_gate.py passes, with a test that other nodes are told before the leaving is acknowledged, and only then at once.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -224,10 +224,10 @@
     def report_load(self, urgent: bool) -> None:
         """Schedule a load report to the nodes that send requests here.
 
-        That the gate has closed is reported at once: a leaving is acknowledged after this, and the
-        other nodes must know of it if this process ends.
+        That the instance leaves is reported at once: it is acknowledged after this, and the other
+        nodes must know of it if this process ends.
         """
-        if urgent and not self._local_route.is_open:
+        if urgent and self._local_route.instance_leaves:
             self._report()
             return
         if self._report_scheduled:
--- a/peridottrack/gateroute.py
+++ b/peridottrack/gateroute.py
@@ -70,9 +70,9 @@
         self.domain = domain
 
     @property
-    def is_open(self) -> bool:
-        """Whether the gate accepts new requests."""
-        return self._gate.gate.is_open
+    def instance_leaves(self) -> bool:
+        """Whether the instance has announced that it leaves."""
+        return self._gate.gate.local_instance.leaving
 
     @property
     def load(self) -> GateLoad | None:
--- a/tests/test_restarted_gate.py
+++ b/tests/test_restarted_gate.py
@@ -11,6 +11,7 @@
 from peridottrack.frames import LeftInstance
 from peridottrack.mesh import MeshNode
 from peridottrack.platform import ADAPTER
+from peridottrack.types import InstanceId
 
 AT_ONCE_S = 1.0
 """Time in which a node that has the document sends requests to a sound instance."""
@@ -228,3 +229,15 @@
     links.set_members([])
     links.set_members([member])
     assert links._link_by_node[member.node].left_instance == LeftInstance("i-1", 1_000)
+
+
+# Guards against an acknowledged leaving that no other node knows of, since the process ended first.
+async def test_other_nodes_are_told_before_the_leaving_is_acknowledged(world, leaving, monkeypatch):
+    sent = []
+    monkeypatch.setattr(
+        leaving.node.link_server, "broadcast", lambda frame, max_nodes: sent.append(frame) or 0
+    )
+    leaving.node.gate_controller.gate.close()
+    assert not sent
+    leaving.node.local_instance.record_leaving(InstanceId("i-1"))
+    assert sent[0].leaving
