Logs: the document that routed a request, its confirmation and its sender

Change: the lines of requests name version and confirmed_s, `document in force` the node that sent it, the dump confirmed_s, and /metrics the version and its age. No decision changes. Result: tests/test_explain.py reads them; test_explain, test_docs, test_follow, test_mesh, test_restored_store and test_forward pass.

--- a/peridottrack/controllers/follow.py
+++ b/peridottrack/controllers/follow.py
@@ -102,6 +102,7 @@
         self._era = 0
         self._rejected_version = 0
         self._store_unavailable = False
+        self._confirmed_at: float | None = None
         self.on_restored: Callable[[], None] = lambda: None
         self.entered_era: Callable[[], int] = lambda: 0
         self.knows_members: Callable[[], bool] = lambda: True
@@ -113,7 +114,11 @@
         """Version of the document in force, 0 for none."""
         return self.table.version if self.table is not None else 0
 
-    def apply_frame(self, frame: DocumentFrame) -> None:
+    def confirmed_age_s(self) -> float | None:
+        """Return the seconds since the store last confirmed the version, None if it never did."""
+        return None if self._confirmed_at is None else self._clock.now() - self._confirmed_at
+
+    def apply_frame(self, frame: DocumentFrame, peer: str) -> None:
         """Apply a document that another node sent, if it is newer."""
         if frame.version <= max(self.version, self._rejected_version):
             return
@@ -123,10 +128,11 @@
         except zlib.error as error:
             log.warning("document from a node cannot be read", error=str(error))
             return
-        self._apply(data, False)
+        self._apply(data, peer)
 
-    def _apply(self, data: bytes, from_store: bool) -> None:
-        origin = "store" if from_store else "node"
+    def _apply(self, data: bytes, peer: str | None) -> None:
+        """Apply a document of another node, or of the store if ``peer`` is None."""
+        origin = "store" if peer is None else "node"
         try:
             table = self._reader(data)
         except InvalidDocument as error:
@@ -139,9 +145,13 @@
         self.table = table
         self.frame = DocumentFrame(table.version, zlib.compress(data))
         log.event(
-            "document in force", version=table.version, origin=origin, routes=len(table.routes)
+            "document in force",
+            version=table.version,
+            origin=origin,
+            peer=peer or "",
+            routes=len(table.routes),
         )
-        self._on_document(table, self.frame, from_store)
+        self._on_document(table, self.frame, peer is None)
 
     async def run(self) -> None:
         """Follow the store while this node is one of the watchers, until cancelled."""
@@ -191,7 +201,8 @@
             return True
         self._position = update.position
         if update.data is not None:
-            self._apply(update.data, True)
+            self._apply(update.data, None)
+        self._confirmed_at = self._clock.now()
         return True
 
     def _is_restored(self, update: DocumentUpdate) -> bool:
@@ -219,6 +230,7 @@
         """Return the state for a dump."""
         return {
             "version": self.version,
+            "confirmed_s": self.confirmed_age_s(),
             "position": self._position,
             "era": self._era,
             "store_away": self._store_unavailable,
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -44,10 +44,17 @@
     "admissible": "requests that the rate limit admits now; negative if others wait for it",
 }
 
-_ANSWERED = {
+_ROUTED = {
     **_REQUEST,
     "route": "name of the route",
     "service": "service of the request",
+    "version": "version of the document by which it was routed",
+    "confirmed_s": "seconds since the node knew that the store had no newer one, null if it never"
+    " did",
+}
+
+_ANSWERED = {
+    **_ROUTED,
     "status": "HTTP status of the response",
     "took_s": "seconds since the first byte of the request was read",
     "target_s": "target latency of the route in seconds",
@@ -92,6 +99,7 @@
         {
             "version": "its version",
             "origin": "where it came from: store or node",
+            "peer": "the node that sent it, empty if it came from the store",
             "routes": "number of routes",
         },
     ),
@@ -262,9 +270,7 @@
     "request given up": Event(
         "A request got an error response, since no instance answered it.",
         {
-            **_REQUEST,
-            "route": "name of the route",
-            "service": "service of the request",
+            **_ROUTED,
             "kind": "error kind of the response",
             "sent_to": "instances that may have run it, in order",
             "refused_by": "instances whose gates declined or rejected it without running it",
@@ -276,9 +282,7 @@
     "request cancelled": Event(
         "A request ended without a response: its caller disconnected, or this node stopped.",
         {
-            **_REQUEST,
-            "route": "name of the route",
-            "service": "service of the request",
+            **_ROUTED,
             "leaving": "whether this node is shutting down",
             "sent_to": "instances that may have run it, except by the send that was cancelled",
             "refused_by": "instances whose gates declined or rejected it without running it",
--- a/peridottrack/forwardstate.py
+++ b/peridottrack/forwardstate.py
@@ -23,6 +23,9 @@
     ----------
     head
         Header block to send to instances.
+    version, confirmed_s
+        Version of the document by which it is routed, and the seconds since this node knew that
+        the store had no newer one; None if it never did.
     sent_to
         Instances that may have run it.
     refused_by
@@ -52,6 +55,8 @@
     deadline: float
     target_at: float
     head: bytes
+    version: int
+    confirmed_s: float | None
     sent_to: list[InstanceId] = field(default_factory=list)
     refused_by: set[InstanceId] = field(default_factory=set)
     declined_by: set[InstanceId] = field(default_factory=set)
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -59,13 +59,13 @@
     document
         Returns the current document, None if there is none.
     on_document
-        Called with each document that a peer sends.
+        Called with each document that a peer sends, and with the peer.
     on_left_instance
         Called with the local instance of which a peer knows that it leaves.
     """
 
     document: Callable[[], DocumentFrame | None]
-    on_document: Callable[[DocumentFrame], None]
+    on_document: Callable[[DocumentFrame, str], None]
     on_left_instance: Callable[[LeftInstance], None] = lambda left: None
 
 
@@ -242,7 +242,7 @@
         elif isinstance(frame, HedgeHint):
             self._on_hedge_hint_by_number.get(frame.number, _ignore)()
         elif isinstance(frame, DocumentFrame):
-            self.hooks.on_document(frame)
+            self.hooks.on_document(frame, self.peer)
 
     def _set_load(self, load: GateLoad) -> None:
         is_first = self.load is None
--- a/peridottrack/linkserver.py
+++ b/peridottrack/linkserver.py
@@ -170,7 +170,7 @@
 
     def handle_document(self, frame: DocumentFrame) -> None:
         """Pass a document from the peer to the hooks."""
-        self._server.hooks.on_document(frame)
+        self._server.hooks.on_document(frame, self.peer)
 
 
 _HANDLER_BY_TYPE: dict[type, Callable[..., None]] = {
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -349,6 +349,7 @@
             rng,
             self.metrics,
         )
+        self.forwarder.confirmed_age_s = self.document_follower.confirmed_age_s
         self.ingress = Ingress(self.forwarder.handle, self.forwarder.refuse, clock)
         self.prober = Prober(
             self.gate_controller.pool, self._health_path, header_names, settings.probes_per_s, clock
@@ -483,6 +484,9 @@
 
     def _metrics_app(self) -> web.Application:
         async def get_metrics(request: web.Request) -> web.Response:
+            follower = self.document_follower
+            self.metrics.document_version.set(follower.version)
+            self.metrics.document_age_seconds.set(follower.confirmed_age_s() or 0.0)
             return web.Response(body=self.metrics.text(), content_type="text/plain")
 
         async def get_dump(request: web.Request) -> web.Response:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -14,6 +14,7 @@
 import pytest
 from click.testing import CliRunner
 from mesh_world import World
+from users_platform import document_bytes
 
 from peridottrack import log
 from peridottrack.clock import ManualClock
@@ -155,6 +156,27 @@
     assert any("instance leaves" in line.decode() for line in lines.lines)
 
 
+async def test_run_by_the_service_of_an_older_document(world, lines):
+    """The logs show by which document a request was routed, and where that came from."""
+    first, second = world.hosts
+    for host in world.hosts:
+        host.instance.script.work_s = 0.5  # later than the target, so that the line is written
+    _, _, headers = await world.call(first)
+    routed = read_timeline(headers["Request-Id"], [lines.file()])[-1].fields
+    assert routed["version"] == 7
+    world.store.put("op", "config", document_bytes(version=9))
+    async with asyncio.timeout(5):
+        while any(host.node.document_follower.version != 9 for host in world.hosts):
+            await asyncio.sleep(0.01)
+    _, _, headers = await world.call(second)
+    routed = read_timeline(headers["Request-Id"], [lines.file()])[-1].fields
+    assert (routed["version"], 0 <= routed["confirmed_s"] < 3) == (9, True)
+    in_force = [json.loads(line) for line in lines.lines if b"document in force" in line]
+    newest = [line for line in in_force if line["version"] == 9]
+    assert len(newest) == 2
+    assert all(bool(line["peer"]) == (line["origin"] == "node") for line in newest)
+
+
 async def test_lost_while_a_node_ended(world, lines):
     """The logs show the cause: the link to the gate ended while an order ran behind it."""
     first, second = world.hosts
