forward: a leaving node passes on only what its recent requests show to end in time

Cause: what is left of a shutdown was compared with four times the mean run, which one run in ten exceeds; and only once the gate had closed. Change: from SIGTERM on, a request with a deadline after the end is refused as not run unless 1.25 times the longest recent time of its route, and four times the mean, are left; once no run at the own gate can make calls, all such requests are refused.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,7 @@
 from peridottrack.instanceheaders import InstanceHeaderReader, InstanceHeaders
 from peridottrack.poison import fingerprint
 from peridottrack.ratelimit import finite
+from peridottrack.runtimes import LongestTime
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.types import Clock, Endpoint, InstanceId
 from peridottrack.upstream import ConnectionPool, UpstreamResponse
@@ -116,6 +118,7 @@
         self.prober: Prober | None = None
         self.answer_by = float("inf")
         self._refused_connections = 0
+        self._longest_run_by_route: defaultdict[str, LongestTime] = defaultdict(LongestTime)
         self._crash_checks: set[asyncio.Task[None]] = set()
         self.on_crash: Callable[[str, InstanceId], object] = (
             lambda request_fingerprint, instance: None
@@ -175,11 +178,13 @@
                 await self.prober.probe()
 
     def _may_outlast_shutdown(self, pending: _PendingRequest) -> bool:
-        """Return whether a run of the usual length would be cut off by the end of the shutdown."""
+        """Return whether the end of the shutdown would cut off a run as long as recent ones."""
         if pending.deadline < self.answer_by:
             return False
-        run_s = self.gate.run_s(pending.frame.route) * self.gate.slowdown()
-        return self._clock.now() + run_s > self.answer_by
+        now = self._clock.now()
+        mean_s = self.gate.run_s(pending.frame.route) * self.gate.slowdown()
+        longest_s = self._longest_run_by_route[pending.frame.route].get(now)
+        return now + max(mean_s, longest_s) > self.answer_by
 
     async def _serve(self, pending: _PendingRequest) -> None:
         if self._may_outlast_shutdown(pending):
@@ -290,6 +295,9 @@
 
     def _handle_response(self, pending: _PendingRequest, response: UpstreamResponse) -> bool:
         """Reply with the response or a refusal; return whether its run time is a valid sample."""
+        now = self._clock.now()
+        run_s = now - pending.admission.started_at
+        self._longest_run_by_route[pending.frame.route].add(run_s, now)
         stated = self._header_reader.read(response.headers)
         echoed = header_value(response.headers, self._id_name) is not None
         # Other responses may be of another instance, which listens at the address of the first.
--- a/peridottrack/forward.py
+++ b/peridottrack/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections import defaultdict
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -23,7 +24,7 @@
 from peridottrack.replies import RETRY_AFTER_MAX_S, ErrorReplies
 from peridottrack.resendbudget import ResendBudget
 from peridottrack.routing import Route, RouteTable
-from peridottrack.runtimes import RunTime
+from peridottrack.runtimes import LONGEST_TO_FINISH, LongestTime, RunTime
 from peridottrack.slowdown import SLOWDOWN_THRESHOLD
 from peridottrack.trafficsplit import TrafficSplitter, split_point
 from peridottrack.types import Clock, InstanceId, Random, ServiceName
@@ -83,6 +84,8 @@
     ----------
     confirmed_age_s
         Returns the seconds since this node knew that the store had no newer routes.
+    serves_local_runs
+        Returns whether requests run at the local instance, which may call other services.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         self._splitter = TrafficSplitter()
         self._request_numbers = itertools.count(1)
         self._run_time_by_route: dict[str, RunTime] = {}
+        self._longest_time_by_route: defaultdict[str, LongestTime] = defaultdict(LongestTime)
         self._caller_deadlines = CallerDeadlines(header_names)
         self._replies = ErrorReplies(header_names, rng)
         self.refuse = self._replies.refuse  # answers input that is not a valid request
@@ -117,6 +121,7 @@
         self.confirmed_age_s: Callable[[], float] = lambda: 0.0
         self._active: set[ForwardState] = set()
         self._answer_by = float("inf")
+        self.serves_local_runs: Callable[[], bool] = lambda: True
         self._refuses_long_requests = False
         self._request_id_header = header_names.request_id.encode()
         self._replaced_headers = frozenset(
@@ -153,18 +158,22 @@
             state.limit_deadline(answer_by)
 
     def refuse_long_requests(self) -> None:
-        """From now on, refuse requests that may not end before the limit of `limit_deadlines`.
+        """From now on, refuse requests with a deadline after the limit of `limit_deadlines`.
 
-        Those with an earlier deadline of their own are still taken, and those that usually take
-        a small part of the time that is left: the calls of runs that are ending on this host.
+        While runs are ending on this host, requests may be their calls. Then those are still taken
+        that took a small part of the time that is left so far.
         """
         self._refuses_long_requests = True
 
     def _may_end_too_late(self, state: ForwardState) -> bool:
-        if not self._refuses_long_requests or state.deadline <= self._answer_by:
+        if state.deadline <= self._answer_by:
             return False
-        left_s = self._answer_by - self._clock.now()
-        return left_s < RUNS_TO_FINISH * self._run_s(state.route)
+        if self._refuses_long_requests and not self.serves_local_runs():
+            return True
+        now = self._clock.now()
+        longest_s = self._longest_time_by_route[state.route.name].get(now)
+        expected_s = max(RUNS_TO_FINISH * self._run_s(state.route), LONGEST_TO_FINISH * longest_s)
+        return self._answer_by - now < expected_s
 
     async def handle(self, request: CallerRequest) -> BufferedResponse:
         """Answer one request; raises nothing but `asyncio.CancelledError`."""
@@ -451,6 +460,9 @@
     def _handle_response(
         self, state: ForwardState, instance: InstanceId, response: InstanceResponse
     ) -> BufferedResponse | None:
+        now = self._clock.now()
+        took_s = now - state.request.received_at
+        self._longest_time_by_route[state.route.name].add(took_s, now)
         failed = response.status >= MIN_FAILURE_STATUS
         state.record_possible_run(instance)
         self._placement.record_outcome(instance, failed)
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -351,6 +351,7 @@
             rng,
             self.metrics,
         )
+        self.forwarder.serves_local_runs = lambda: self.gate_controller.gate.running > 0
         self.forwarder.confirmed_age_s = self.document_follower.confirmed_age_s
         self.ingress = Ingress(self.forwarder.handle, self.forwarder.refuse, clock)
         self.prober = Prober(
