--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -184,6 +184,8 @@
         self.runs: dict[str, list[Run]] = {}
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._tasks: list[asyncio.Task[Any]] = []
+        self._transports: set[Any] = set()
+        self.starts = 1
 
     async def start(self, ip: str, port: int, announce: str) -> None:
         """Listen, and send heartbeats to the node."""
@@ -192,6 +194,24 @@
         self._server = await loop.create_server(lambda: _InstanceProtocol(self), ip, port)
         self._tasks.append(asyncio.create_task(self._beat()))
 
+    async def crash(self, down_s: float) -> None:
+        """Break all connections and be back after some seconds, with a new id."""
+        self.record.write("crash", instance=self.name)
+        self.stop()
+        self._tasks.clear()
+        self._server.close()
+        for transport in list(self._transports):
+            transport.abort()
+        await asyncio.sleep(down_s)
+        self.starts += 1
+        self.name = f"{self.name.partition('.')[0]}.{self.starts}"
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.running = 0
+        self._waiting.clear()
+        ip, _, port = self.address.rpartition(":")
+        await self.start(ip, int(port), self._announce)
+        self.record.write("back", instance=self.name)
+
     async def _beat(self) -> None:
         while True:
             await self.report()
@@ -268,6 +288,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport: Any = transport
+        self._instance._transports.add(transport)
 
     def data_received(self, data: bytes) -> None:
         self._buffer += data
@@ -293,6 +314,7 @@
         self._task.add_done_callback(lambda task: task.cancelled() or self._next())
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._instance._transports.discard(self._transport)
         if self._task is not None:
             self._task.cancel()
 
