--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -73,7 +73,8 @@
     async def start(self, ip: str) -> None:
         """Listen."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        own_ip, own_port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{own_ip}:{own_port}"
 
     def put(self, table: str, part: str, key: str, value: str) -> None:
         """Write a row."""
@@ -185,7 +186,6 @@
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._tasks: list[asyncio.Task[Any]] = []
         self._transports: set[Any] = set()
-        self.starts = 1
 
     async def start(self, ip: str, port: int, announce: str) -> None:
         """Listen, and send heartbeats to the node."""
@@ -194,19 +194,17 @@
         self._server = await loop.create_server(lambda: _InstanceProtocol(self), ip, port)
         self._tasks.append(asyncio.create_task(self._beat()))
 
-    async def crash(self, down_s: float) -> None:
-        """Break all connections and be back after some seconds, with a new id."""
-        self.record.write("crash", instance=self.name)
+    async def start_again(self, down_s: float) -> None:
+        """Break all connections and be back after some seconds, under the same id."""
+        self.record.write("exit", instance=self.name)
         self.stop()
         self._tasks.clear()
         self._server.close()
         for transport in list(self._transports):
             transport.abort()
         await asyncio.sleep(down_s)
-        self.starts += 1
-        self.name = f"{self.name.partition('.')[0]}.{self.starts}"
         self.born, self.sequence = int(time.time() * 1000), 0
-        self.running = 0
+        self.state, self.running = "ready", 0
         self._waiting.clear()
         ip, _, port = self.address.rpartition(":")
         await self.start(ip, int(port), self._announce)
@@ -219,8 +217,12 @@
 
     async def report(self) -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
+        return await self.send_report(self.make_report())
+
+    def make_report(self) -> dict[str, Any]:
+        """Return the next heartbeat."""
         self.sequence += 1
-        body = {
+        return {
             "address": self.address,
             "born": self.born,
             "node_info": {
@@ -231,12 +233,27 @@
             },
             "status": {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0},
         }
+
+    async def send_report(self, body: dict[str, Any]) -> bool:
+        """Send a heartbeat, perhaps late; return whether it was acknowledged."""
         path = f"/v1/instances/{self.name}/heartbeat"
         with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             status, _ = await asyncio.wait_for(call_json(self._announce, path, body), 1.0)
             return 200 <= status < 300
         return False
 
+    async def deregister(self) -> bool:
+        """Send no more heartbeats, and deregister; return whether that was acknowledged."""
+        self.stop()
+        self.state = "draining"
+        path = f"/v1/instances/{self.name}/deregister"
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            status, _ = await asyncio.wait_for(
+                call_json(self._announce, path, {"born": self.born}), 1.0
+            )
+            return 200 <= status < 300
+        return False
+
     async def slot(self) -> None:
         """Wait for a slot."""
         if self.running < self.slots and not self._waiting:
