Free requests when they end, not at the next collection

What callers saw: clients that send whole bodies of 60,000 or 100,000 bytes one after another on each connection took both gates behind their node beyond 200 MB, and 300 MB with 60 connections; a process that exceeds the memory of its host is killed with all its requests.

Cause: requests were parts of reference cycles, so that they and their bodies stayed until a collection, which is rare (`debug.tune_garbage_collector`), while the budget had released their bytes. At the gate `_PendingRequest` and its `AdmissionRequest` referred to each other in every request. A task that was cancelled keeps its traceback, and its frames referred to the exchange that kept the task. The exception of a lost link referred, through its traceback, to the future or task that kept it. A closed connection to an instance and its parser referred to each other.

Change: the decision of the gate is set through its future alone, an exchange forgets the task that it cancels, a waiter is dropped with the frame that waits for it, the outcome of a send is looked at without raising it, and a closed connection drops its parser.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from peridottrack import log
 from peridottrack.controllers.probe import Health, ProbeFailure, Prober
@@ -78,7 +79,7 @@
             frame.priority,
             self.target_at,
             self.deadline,
-            self._set_decision,
+            partial(_set_decision, self.decision),
             frame.decline_if_slow,
             frame.decline_if_full,
             frame.account,
@@ -86,10 +87,6 @@
             frame.returned,
         )
 
-    def _set_decision(self, verdict: Verdict) -> None:
-        if not self.decision.done():
-            self.decision.set_result(verdict)
-
 
 class GateController:
     """The gate with its connections to the instance.
@@ -457,6 +454,11 @@
         self.pool.close()
 
 
+def _set_decision(decision: asyncio.Future[Verdict], verdict: Verdict) -> None:
+    if not decision.done():
+        decision.set_result(verdict)
+
+
 def _final_verdict(pending: _PendingRequest) -> Verdict:
     """Return the verdict of a request that is no longer queued."""
     known = pending.decision.done() and not pending.decision.cancelled()
--- a/peridottrack/hedgedsend.py
+++ b/peridottrack/hedgedsend.py
@@ -244,11 +244,12 @@
     def _handle_end(
         self, sends: _Sends, task: _Send, instance: InstanceId
     ) -> BufferedResponse | None:
-        try:
-            outcome = task.result()
-        except LinkLost as error:
+        # Raised here, it would refer to this frame, and so to the task that keeps it.
+        error = task.exception()
+        if isinstance(error, LinkLost):
             self._steps.handle_link_loss(sends.state, instance, error)
             return None
+        outcome = task.result()
         if isinstance(outcome, InstanceResponse):
             sends.record_possible_runs()
         return self._steps.handle_outcome(sends.state, instance, outcome)
--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -273,10 +273,7 @@
         self._unparsed = b""
         self._ingress.budget.close(self._input)
         self._ingress.budget.close(self._output)
-        for exchange in self._exchanges:
-            if exchange.task is not None and exchange.response is None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._cancel_exchanges()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
@@ -457,12 +454,17 @@
         if close:
             self._close_after_last()
 
-    def _close_after_last(self) -> None:
-        """Cancel the requests behind the last response and close the connection."""
+    def _cancel_exchanges(self) -> None:
         for exchange in self._exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
+                # The task keeps the traceback of its cancellation, which refers to the exchange.
+                exchange.task = None
         self._exchanges.clear()
+
+    def _close_after_last(self) -> None:
+        """Cancel the requests behind the last response and close the connection."""
+        self._cancel_exchanges()
         if self._writer.unsent_bytes:
             self._closes_when_sent = True
             self._start_idle_timer()
--- a/peridottrack/link.py
+++ b/peridottrack/link.py
@@ -362,6 +362,9 @@
             if self._remove_request(request.number) is not None:
                 connection.write(encode(Cancel(request.number)))
             raise
+        finally:
+            # Its exception has a traceback that refers to this frame.
+            del waiter
 
     def send(self, frame: Frame) -> bool:
         """Send a frame that needs no reply; return False if there is no connection."""
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -153,6 +153,8 @@
         self.usable = False
         self._transport = None
         self._fail(BrokeOff(f"the connection ended: {exc or 'closed by the instance'}"))
+        # It refers back to this connection, whose memory is to be freed at once.
+        del self._parser
 
     # -- parser callbacks --------------------------------------------------------------
 
