--- a/tests/test_bytebudget.py
+++ b/tests/test_bytebudget.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import inspect
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from peridottrack import bytebudget
 from peridottrack.bytebudget import (
     LARGE_BYTES,
     LARGE_SHARE,
@@ -18,6 +21,10 @@
 
 LIMIT = 10 * LARGE_BYTES
 LARGE = 3 * LARGE_BYTES
+CROWD = 2_000
+"""Holdings of a crowd, more than calls can nest."""
+MAX_LOOKS = 100
+"""Most accesses to holdings in one update, however many there are."""
 
 
 class FakeClock:
@@ -123,6 +130,56 @@
     assert held.budget.reserve(LARGE)
 
 
+def test_owners_that_update_others_while_they_are_dropped_do_not_nest(held):
+    """As a connection does that answers 503 to the request that it gives up."""
+    budget = held.budget
+
+    def connect():
+        answer = budget.open(lambda: None, is_answer=True)
+
+        def drop():
+            held.dropped.append(len(inspect.stack(0)))
+            budget.update(answer, 1)
+
+        budget.update(budget.open(drop), LIMIT // CROWD)
+
+    for _ in range(CROWD):
+        connect()
+    held.clock.time += 1.0
+    budget.add(2 * LIMIT)
+    assert len(held.dropped) > CROWD / 2
+    assert len(set(held.dropped)) == 1
+
+
+@pytest.mark.parametrize("size", [1, LARGE_BYTES + 1])
+def test_work_of_an_update_does_not_grow_with_the_holdings(monkeypatch, size):
+    """Neither if nothing can be dropped, nor if there is room."""
+    looks = []
+
+    class ObservedHolding(bytebudget.Holding):
+        def __getattribute__(self, name):
+            looks.append(name)
+            return super().__getattribute__(name)
+
+    monkeypatch.setattr(bytebudget, "Holding", ObservedHolding)
+    counts = []
+    for number_of_holdings in (CROWD, 10 * CROWD):
+        budget = ByteBudget(100 * CROWD * size, FakeClock())
+        holdings = [budget.open(lambda: None) for _ in range(number_of_holdings)]
+        for holding in holdings:
+            budget.update(holding, size)
+        for over in (False, True):
+            if over:
+                for holding in holdings:
+                    holding.droppable = False
+                    budget.update(holding, size)
+                budget.add(200 * CROWD * size)
+            looks.clear()
+            budget.update(holdings[0], size)
+            counts.append(len(looks))
+    assert max(counts) < MAX_LOOKS
+
+
 class BudgetMachine(RuleBasedStateMachine):
     """Random holdings and reservations against a plain sum of them."""
 
