One iteration of the event loop reads a bounded amount from a crowd

What callers saw: beside 300 connections that send chunks of one byte, ordinary requests waited for seconds; where deadlines are shorter, they got no answer.

Cause: each iteration read up to 32 KiB from each connection and parsed it, which takes some 2.7 ms if it is in chunks of one byte: nearly a second for 300 of them, and a request needs several iterations, to be accepted, to be read and for each step of its way.

Evidence: the new test of test_ingress counts what one iteration reads from 100 connections: 960,912 bytes before, of at most 262,144 (what eight fast senders get).

Change: an iteration reads 128 KiB from all connections, in equal shares by how many were read from in the one before, and at least 1 KiB from each. Few senders read 32 KiB at a time as before.

--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -33,6 +33,12 @@
 """Requests in work in the process from which one request of a connection is taken at a time."""
 READ_BYTES = 32 << 10
 """Most bytes that are read and parsed at once, so that a fast sender does not hold up the loop."""
+MIN_READ_BYTES = 1 << 10
+"""Most bytes that are read from a connection if many are read from."""
+TURN_BYTES = 128 << 10
+"""Bytes that are read from all connections in an iteration of the event loop, beside the
+`MIN_READ_BYTES` of each. In chunks of one byte they cost tens of times as much time as in one
+piece."""
 CONNECTION_BYTES = 12 << 10
 """Memory that a connection takes without a request."""
 REQUEST_BYTES = 8 << 10
@@ -102,6 +108,35 @@
         return len(self.response.body) if self.response is not None else 0
 
 
+class ReadShares:
+    """Divides what is read in an iteration of the event loop among the connections.
+
+    Other connections wait for the end of the iteration several times: to be accepted, to be read,
+    and for each step of their requests.
+    """
+
+    def __init__(self) -> None:
+        self._readers = 0
+        self._previous_readers = 0
+        self._read_bytes = 0
+
+    def next_size(self) -> int:
+        """Return how many bytes the next connection may read."""
+        if not self._readers:
+            asyncio.get_running_loop().call_soon(self._end_iteration)
+        self._readers += 1
+        share = TURN_BYTES // max(self._readers, self._previous_readers)
+        return max(MIN_READ_BYTES, min(READ_BYTES, share, TURN_BYTES - self._read_bytes))
+
+    def record(self, size: int) -> None:
+        """Count bytes that were read."""
+        self._read_bytes += size
+
+    def _end_iteration(self) -> None:
+        self._previous_readers, self._readers = self._readers, 0
+        self._read_bytes = 0
+
+
 class Ingress:
     """Listens for callers and tracks their connections.
 
@@ -140,6 +175,7 @@
         self.make_rejection = make_rejection
         self.clock = clock
         self.budget = budget or ByteBudget(float("inf"), clock)
+        self.read_shares = ReadShares()
         self._max_descriptors = max_descriptors
         self.limits = CallerLimits()
         self.body_timeout_s: Callable[[CallerRequest], float] = (
@@ -277,10 +313,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
-        return self._read_buffer
+        return self._read_buffer[: self._ingress.read_shares.next_size()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes."""
+        self._ingress.read_shares.record(nbytes)
         self._parse(self._read_buffer[:nbytes])
 
     def pause_writing(self) -> None:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -4,16 +4,29 @@
 
 import asyncio
 import gc
+import socket
 import weakref
+from collections import Counter
 
 import pytest
 
 from peridottrack.bytebudget import STALL_S, ByteBudget
 from peridottrack.clock import LoopClock
-from peridottrack.ingress import CROWDED, MAX_PIPELINED, BufferedResponse, Ingress
+from peridottrack.ingress import (
+    CROWDED,
+    MAX_PIPELINED,
+    READ_BYTES,
+    BufferedResponse,
+    CallerConnection,
+    Ingress,
+)
 from peridottrack.requestreader import SLICE_BYTES
 from peridottrack.routing import CallerLimits
 
+SENDERS = 100
+FEW_SENDERS = 8
+SMALL_CHUNKS = b"1\r\na\r\n" * 10_000
+
 
 class IngressHarness:
     """An ingress whose responses are set by the test."""
@@ -264,6 +277,32 @@
         writer.close()
 
 
+async def test_crowd_of_senders_leaves_the_loop_to_others(server, monkeypatch):
+    """A step of the loop reads from a crowd at most what it reads from a few fast senders."""
+    bytes_by_step = Counter()
+    bytes_by_connection = Counter()
+    step = 0
+    buffer_updated = CallerConnection.buffer_updated
+
+    def record(connection, nbytes):
+        bytes_by_step[step] += nbytes
+        bytes_by_connection[connection] += nbytes
+        buffer_updated(connection, nbytes)
+
+    monkeypatch.setattr(CallerConnection, "buffer_updated", record)
+    clients = [socket.create_connection(("127.0.0.1", server.port)) for _ in range(SENDERS)]
+    chunks = b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + SMALL_CHUNKS
+    for client in clients:
+        client.setblocking(False)
+        client.send(chunks)
+    for step in range(SENDERS):  # noqa: B007
+        await asyncio.sleep(0)
+    for client in clients:
+        client.close()
+    assert len(bytes_by_connection) == SENDERS
+    assert max(bytes_by_step.values()) <= FEW_SENDERS * READ_BYTES
+
+
 @pytest.mark.parametrize("sent", [b"", get("/1"), get("/1") + b"GET /2", b"nonsense\r\n\r\n"])
 async def test_closed_connection_is_freed_without_the_garbage_collector(server, sent):
     gc.disable()
