Bound and count what callers' connections have received and not read

What callers saw: 2,000 connections on which requests follow each other held as much in the kernel as the process held itself, together more than a host of 200 MB has; an ordinary request beside them got no answer.

Cause: a connection's receive buffer had the size that the system chooses, 128 KiB and more, and a connection that may send no more requests for now is not read.

Evidence: the tests with real processes now look at memory and unread bytes together.

Change: connections of callers have a receive buffer of 8 KiB, of which the kernel uses up to twice that. While a connection has more to read it counts in the budget.

--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -41,6 +41,11 @@
 piece."""
 CONNECTION_BYTES = 12 << 10
 """Memory that a connection takes without a request."""
+RECEIVE_BUFFER_BYTES = 8 << 10
+"""Receive buffer of a connection, which bounds what a crowd has sent and the process has not read.
+Callers are on the same host, so that it need not cover a time in transit."""
+UNREAD_BYTES = 2 * RECEIVE_BUFFER_BYTES
+"""Most bytes that the kernel holds in such a buffer (socket(7): it doubles the size)."""
 REQUEST_BYTES = 8 << 10
 """Memory that a request in work takes beside its head and body."""
 CALLERS_SHARE = 0.75
@@ -193,6 +198,8 @@
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        # Accepted connections inherit it.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         # The loop accepts as many connections at a time as its own backlog, which it also sets.
         self._server = await loop.create_server(
             lambda: CallerConnection(self), sock=listener, backlog=ACCEPT_BATCH
@@ -275,6 +282,9 @@
         self._rejected = False
         # Received bytes that are not parsed yet; while there are some, nothing is read.
         self._unparsed = b""
+        self._offered_bytes = 0
+        # Whether the kernel probably holds more.
+        self._more_waits = False
         self._pending_body_bytes = 0
         self._caller = ""
         # Whether a request that ends the connection was read; what follows it is ignored.
@@ -313,11 +323,13 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
-        return self._read_buffer[: self._ingress.read_shares.next_size()]
+        self._offered_bytes = self._ingress.read_shares.next_size()
+        return self._read_buffer[: self._offered_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes."""
         self._ingress.read_shares.record(nbytes)
+        self._more_waits = nbytes == self._offered_bytes
         self._parse(self._read_buffer[:nbytes])
 
     def pause_writing(self) -> None:
@@ -422,6 +434,8 @@
         # A connection with requests in work alone is not given up.
         self._input.droppable = self._reader.in_progress or self.idle
         held = CONNECTION_BYTES + self._reader.held_bytes + len(self._unparsed)
+        if self._unparsed or self._more_waits:
+            held += UNREAD_BYTES
         budget.update(self._input, held, received)
 
     def _drop_input(self) -> None:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import resource
 import socket
@@ -42,6 +43,15 @@
 ENDLESS_BYTES = 16 << 20
 """Bytes after which a client that would send without an end has shown what it can do."""
 PIECE_BYTES = 16 << 10
+SIZES_IN_A_ROW = (60_000, 100_000)
+"""Sizes of bodies that follow each other on a connection: nodes pass on the first in one frame, the
+second in parts."""
+FEW_SENDERS, MANY_SENDERS = 20, 60
+"""Connections that send them."""
+MANY_PIPELINES = 2_000
+"""Connections on which requests follow each other without a wait."""
+SENDERS_OF_CHUNKS = 300
+"""Connections that send chunks of one byte."""
 FEW_DESCRIPTORS = 128
 """Limit of the descriptors of a process that a crowd of connections is to exhaust."""
 MANY_CONNECTIONS = 600
@@ -59,6 +69,8 @@
 GUARD_S = 60.0
 """Time after which a test gives up waiting for a process that hangs."""
 HEARTBEAT_S = 0.5
+WATCH_S = 0.25
+"""Pause between two looks at the memory of the processes."""
 
 HEAD = (
     b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: h\r\nRequest-Deadline: 30000\r\n"
@@ -67,6 +79,8 @@
 SIZED = HEAD + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY
 SMALL_CHUNKS = b"8\r\nabcdefgh\r\n" * 1024
 SMALL_CHUNKS_BODY = 8 * 1024
+CHUNKS_OF_A_BYTE = b"1\r\na\r\n" * 4096
+CHUNKS_OF_A_BYTE_BODY = 4096
 LARGE_CHUNK = b"100000\r\n" + b"a" * (1 << 20) + b"\r\n"
 UNREADING_CLIENT = [
     b"GET /stock/%d HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: h%d\r\n\r\n" % (number, number)
@@ -124,25 +138,56 @@
         line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
         return int(line.split()[1]) * 1024 / 1e6
 
+    def unread_bytes(self) -> int:
+        """Return the bytes that the kernel has received for the process and it has not read."""
+        inodes = set()
+        for descriptor in Path(f"/proc/{self.process.pid}/fd").iterdir():
+            # It may be closed meanwhile.
+            with contextlib.suppress(FileNotFoundError):
+                inodes.add(str(descriptor.readlink()).removeprefix("socket:[").removesuffix("]"))
+        address = socket.inet_aton(self.ip)[::-1].hex().upper()
+        total = 0
+        for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = row.split()
+            listens = fields[3] == "0A"
+            waits_for_accept = fields[9] == "0" and fields[1].startswith(address)
+            if (fields[9] in inodes and not listens) or waits_for_accept:
+                total += int(fields[4].partition(":")[2], 16)
+        return total
+
+    def memory_with_unread_mb(self) -> float:
+        """Return the memory of the process now, with the bytes that it has not read."""
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return (pages * resource.getpagesize() + self.unread_bytes()) / 1e6
+
     def descriptors(self) -> int:
         return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
 
 
 @dataclass
 class Site:
-    """The node under attack, which has no instance, and another one beside the instance."""
+    """The node under attack, which has no instance, and others beside one instance each."""
 
     folder: Path
     store: Store = field(default_factory=Store)
-    instance: InstanceStandin = field(default_factory=lambda: InstanceStandin("i-1"))
+    instances: list[InstanceStandin] = field(default_factory=list)
     nodes: list[NodeProcess] = field(default_factory=list)
     clients: list[socket.socket] = field(default_factory=list)
     attacks: list[asyncio.Task] = field(default_factory=list)
     sequence: int = 0
+    largest_memory_mb: float = 0.0
+
+    @property
+    def instance(self) -> InstanceStandin:
+        return self.instances[0]
 
-    async def start(self, largest_body: int = LARGEST_BODY, timeout_s: float = 4.0) -> None:
+    async def start(
+        self, largest_body: int = LARGEST_BODY, timeout_s: float = 4.0, gates: int = 1
+    ) -> None:
         await self.store.start()
-        await self.instance.start()
+        self.instances += [InstanceStandin(f"i-{number}") for number in range(1, gates + 1)]
+        for instance in self.instances:
+            await instance.start()
         routes = {
             **DOCUMENT["routes"],
             "rows": [[*row[:4], timeout_s, *row[5:]] for row in DOCUMENT["routes"]["rows"]],
@@ -153,15 +198,16 @@
         connector = aiohttp.TCPConnector(force_close=True)
         timeout = aiohttp.ClientTimeout(total=GUARD_S)
         self.session = aiohttp.ClientSession(connector=connector, timeout=timeout)
-        for number in range(2):
+        for number in range(1 + gates):
             self.nodes.append(self._start_node(number))
         self.heartbeats = asyncio.create_task(self._send_heartbeats())
+        self.watch = asyncio.create_task(self._watch_memory())
         assert await self.answered("/stock/1")
 
     def _start_node(self, number: int) -> NodeProcess:
         ip = fresh_ip()
-        # The instance is at the second node; there is none at the address of the first.
-        upstream = f"127.0.0.1:{self.instance.port}" if number else f"{ip}:9"
+        # The instances are at the other nodes; there is none at the address of the first.
+        upstream = f"127.0.0.1:{self.instances[number - 1].port}" if number else f"{ip}:9"
         limits = {
             name: value
             for name, value in (("memory_mb", HOST_MEMORY_MB), ("max_fds", HOST_DESCRIPTORS))
@@ -181,24 +227,38 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self.sequence += 1
-            gate = self.nodes[1].ip
-            body = {
-                "address": f"{gate}:{self.instance.port}",
-                "born": 1_000,
-                "node_info": {
-                    "service": "katalog",
-                    "version": "v1",
-                    "zone": "a",
-                    "max_concurrent": 18,
-                },
-                "status": {"state": "ready", "sequence": self.sequence, "warmup_left_s": 0},
-            }
-            url = f"http://{gate}:{ANNOUNCE}/v1/instances/i-1/heartbeat"
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                async with self.session.post(url, data=json.dumps(body)):
-                    pass
+            gates = zip(self.nodes[1:], self.instances, strict=True)
+            await asyncio.gather(*(self._send_heartbeat(*gate) for gate in gates))
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _send_heartbeat(self, gate: NodeProcess, instance: InstanceStandin) -> None:
+        body = {
+            "address": f"{gate.ip}:{instance.port}",
+            "born": 1_000,
+            "node_info": {
+                "service": "katalog",
+                "version": "v1",
+                "zone": "a",
+                "max_concurrent": 18,
+            },
+            "status": {"state": "ready", "sequence": self.sequence, "warmup_left_s": 0},
+        }
+        url = f"http://{gate.ip}:{ANNOUNCE}/v1/instances/{instance.name}/heartbeat"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.session.post(url, data=json.dumps(body)):
+                pass
+
+    async def _watch_memory(self) -> None:
+        """Record the largest memory of a process with the bytes that it has not read."""
+        while True:
+            self._record_memory()
+            await asyncio.sleep(WATCH_S)
+
+    def _record_memory(self) -> None:
+        for node in self.nodes:
+            if node.alive:
+                self.largest_memory_mb = max(self.largest_memory_mb, node.memory_with_unread_mb())
+
     async def request(self, path: str, method: str = "GET", body: bytes = b"") -> int:
         """Send one ordinary request to the node under attack; return the status, 0 for none."""
         headers = {"Host": "shop.example", "Request-Id": "r", "Request-Deadline": "30000"}
@@ -214,7 +274,7 @@
         """Return whether an ordinary request is answered, at the latest after some repeats."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(GUARD_S):
-                while self.nodes[0].alive and self.nodes[1].alive:
+                while all(node.alive for node in self.nodes):
                     if await self.request(path) == 200:
                         return True
                     await asyncio.sleep(0.1)
@@ -257,10 +317,13 @@
 
     def check_processes(self) -> None:
         """Check that both processes live, within the memory and descriptors of their hosts."""
-        assert [node.alive for node in self.nodes] == [True, True]
+        assert all(node.alive for node in self.nodes), [node.alive for node in self.nodes]
         facts = [(node.peak_memory_mb(), node.descriptors()) for node in self.nodes]
+        self._record_memory()
         print("peak memory in MB, descriptors:", facts)
+        print("largest memory in MB with unread bytes:", self.largest_memory_mb)
         assert max(memory for memory, _ in facts) < HOST_MEMORY_MB, facts
+        assert self.largest_memory_mb < HOST_MEMORY_MB
         assert max(descriptors for _, descriptors in facts) < HOST_DESCRIPTORS, facts
 
     async def stop(self) -> None:
@@ -270,11 +333,13 @@
         for client in self.clients:
             client.close()
         self.heartbeats.cancel()
+        self.watch.cancel()
         await self.session.close()
         for node in self.nodes:
             node.process.kill()
             node.process.wait()
-        await self.instance.stop()
+        for instance in self.instances:
+            await instance.stop()
         await self.store.stop()
 
 
@@ -323,6 +388,33 @@
     site.check_processes()
 
 
+async def test_crowd_that_pipelines_is_borne(site):
+    await site.start()
+    await site.attack(lambda: UNREADING_CLIENT, MANY_PIPELINES)
+    assert await site.answered("/stock/1")
+    site.check_processes()
+
+
+async def test_small_chunks_on_many_connections_are_borne(site):
+    await site.start()
+    pieces = [CHUNKED, *[CHUNKS_OF_A_BYTE] * (SMALL_CHUNKED_BODY // CHUNKS_OF_A_BYTE_BODY)]
+    await site.attack(lambda: pieces, SENDERS_OF_CHUNKS)
+    assert await site.answered("/stock/1")
+    site.check_processes()
+
+
+@pytest.mark.parametrize("connections", [FEW_SENDERS, MANY_SENDERS])
+@pytest.mark.parametrize("size", SIZES_IN_A_ROW)
+async def test_bodies_one_after_another_are_borne(site, size, connections):
+    await site.start(gates=2)
+    for instance in site.instances:
+        instance.keeps_runs = False
+    request = HEAD + b"Content-Length: %d\r\n\r\n" % size + b"a" * size
+    await site.attack(lambda: itertools.repeat(request), connections)
+    assert await site.answered("/stock/1")
+    site.check_processes()
+
+
 async def test_connections_that_send_nothing_leave_descriptors_to_others(site):
     await site.start()
     limits = (FEW_DESCRIPTORS, FEW_DESCRIPTORS)
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -336,6 +336,8 @@
     ----------
     checks_target
         Whether requests for another instance are rejected with 421.
+    keeps_runs
+        Whether ``runs`` has each request, with its body.
     received_at
         When each request arrived, by `time.monotonic`, also those that were rejected or probes.
     aborted_runs
@@ -346,6 +348,7 @@
 
     name: str = "i-1"
     checks_target: bool = False
+    keeps_runs: bool = True
     script: Script = field(default_factory=Script)
     runs: list[Run] = field(default_factory=list)
     received_at: list[float] = field(default_factory=list)
@@ -434,7 +437,8 @@
             return
         run.instance = self._instance.name
         run.at = time.monotonic()
-        self._instance.runs.append(run)
+        if self._instance.keeps_runs:
+            self._instance.runs.append(run)
         if script.crash_path and run.target == script.crash_path:
             await self._instance.stop()
             self._reset()
