Count the headers of a request in work, at the caller's node and at the gate

What callers saw: by reading; no play with real processes showed it, since gates refuse most of such a crowd at once. Requests that are legal but have many short headers take far more memory than the budget knows.

A gate counted neither path nor head.

Evidence: the new test of test_ingress failed before: 20,480 bytes counted for a connection with such a request. In test_linkbodies the request now has a path and a head, and the budget must have exactly them too; it failed before. The figure there changes for this reason alone.

Change: the reader hands over the memory that it has counted for the head, and the gate counts path and head.

Result: both tests pass.

--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -47,7 +47,7 @@
 UNREAD_BYTES = 2 * RECEIVE_BUFFER_BYTES
 """Most bytes that the kernel holds in such a buffer (socket(7): it doubles the size)."""
 REQUEST_BYTES = 8 << 10
-"""Memory that a request in work takes beside its head and body."""
+"""Memory that a request in work takes beside its body and what was read of its head."""
 CALLERS_SHARE = 0.75
 """Share of the descriptors of a process that callers may take; the rest is for links, instances,
 the store and files."""
@@ -412,7 +412,7 @@
         self._cancel_timer()
         self._last_request_read = last = self._ingress.closing or last
         body_bytes = len(request.body)
-        reserved = REQUEST_BYTES + body_bytes
+        reserved = REQUEST_BYTES + request.held_bytes
         if not self._ingress.budget.keep(self._input, reserved, CONNECTION_BYTES):
             raise RequestRefused(503, "the node holds too many requests")
         exchange = _Exchange(request.method == "HEAD", last, body_bytes)
--- a/peridottrack/linkserver.py
+++ b/peridottrack/linkserver.py
@@ -34,7 +34,7 @@
 """Length of a measuring window: the fastest frame of this and the previous window is the baseline
 for the delay of others."""
 REQUEST_BYTES = 8 << 10
-"""Memory that a request takes beside its body."""
+"""Memory that a request takes beside its head and body."""
 FULL_RETRY_S = 1.0
 """Time after which a request is worth another try if the node had no memory for it: bodies stay
 for about as long as requests take."""
@@ -275,7 +275,7 @@
 
 def _bytes_of(frame: ForwardedRequest) -> int:
     """Return the memory that a request takes until it ends."""
-    return REQUEST_BYTES + len(frame.body) + frame.body_bytes
+    return REQUEST_BYTES + len(frame.path) + len(frame.head) + len(frame.body) + frame.body_bytes
 
 
 _HANDLER_BY_TYPE: dict[type, Callable[..., None]] = {
--- a/peridottrack/requestreader.py
+++ b/peridottrack/requestreader.py
@@ -39,6 +39,8 @@
         Not changed any more; a large one is a `bytearray`.
     received_at
         Time of the node's clock, in seconds, at which its first byte was read.
+    head_bytes
+        Memory that its target and headers take.
     """
 
     method: str
@@ -46,6 +48,12 @@
     headers: list[Header]
     body: bytes | bytearray
     received_at: float
+    head_bytes: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that it takes."""
+        return self.head_bytes + len(self.body)
 
     @property
     def path(self) -> str:
@@ -95,8 +103,11 @@
     @property
     def held_bytes(self) -> int:
         """Memory that the request in progress takes."""
-        entries = HEADER_ENTRY_BYTES * len(self._headers)
-        return entries + self._header_bytes + self._undelivered_bytes + len(self._body)
+        return self._head_bytes + self._undelivered_bytes + len(self._body)
+
+    @property
+    def _head_bytes(self) -> int:
+        return HEADER_ENTRY_BYTES * len(self._headers) + self._header_bytes
 
     def close(self) -> None:
         """Drop all that refers back to this reader, so that its memory is freed at once."""
@@ -211,6 +222,7 @@
         self._undelivered_bytes = 0
         request, body = self._request, self._body
         assert request is not None
+        request.head_bytes = self._head_bytes
         self._start_message()
         request.body = body if len(body) > LARGE_BODY_BYTES else bytes(body)
         try:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import socket
+import sys
 import weakref
 from collections import Counter
 
@@ -239,6 +240,16 @@
     await server.until(lambda: server.ingress.budget.used == 0)
 
 
+async def test_headers_of_a_request_in_work_are_counted(server, caller):
+    """Many short headers take far more memory than they have bytes."""
+    _, writer = caller
+    writer.write(get("/1", "".join(f"a{number}: b\r\n" for number in range(1_500))))
+    await server.until(lambda: server.requests)
+    headers = server.requests[0].headers
+    parts = [part for header in headers for part in (header, *header)]
+    assert server.ingress.budget.used > sys.getsizeof(headers) + sum(map(sys.getsizeof, parts))
+
+
 async def test_caller_that_does_not_read_is_closed_if_others_need_the_room(server):
     answer = 8 << 20  # more than the operating system buffers
     server.limit_bytes(answer)
--- a/tests/test_linkbodies.py
+++ b/tests/test_linkbodies.py
@@ -25,13 +25,15 @@
 from peridottrack.types import Endpoint
 
 LOAD = GateLoad("i-1", "katalog", True, 18, 18, 0, 0)
+PATH = b"/1"
+HEAD = b"A: " + b"a" * 1000 + b"\r\n"
 SIZE = 20 * PART_BYTES + 1
 LIMIT = int(1.5 * SIZE)
 
 
 def make_request(number, body, budget_s=5.0, again=False):
     return ForwardedRequest(
-        number, budget_s, 0.0, 1.0, "r", 0, False, again, "POST", b"/", b"", body, "i-1"
+        number, budget_s, 0.0, 1.0, "r", 0, False, again, "POST", PATH, HEAD, body, "i-1"
     )
 
 
@@ -119,7 +121,7 @@
     sent = pair.send(1, body)
     await pair.until(lambda: pair.gate.frames)
     assert pair.gate.frames[0].body == body
-    assert pair.budget.used == SIZE + REQUEST_BYTES
+    assert pair.budget.used == SIZE + len(PATH) + len(HEAD) + REQUEST_BYTES
     pair.gate.go.set()
     assert (await sent).body == b"done"
     await pair.until(lambda: pair.budget.used == 0)
