Bound the receive buffers of links and of connections to the instance

While a node is busy with a crowd, what other nodes and its instance send for their callers waits in the kernel, and counts as memory of the process.

Cause: the kernel enlarges the buffer of a connection that is read fast, here to some 6 MB, and keeps it so.

Evidence: three new cases in test_linkbodies and test_upstream transfer fast, stop reading and ask the kernel: 3.2 and 2.8 to 6.0 MB on a link, 1.4 MB on a connection to the instance, of at most 256 KiB.

Result: the three cases pass.

--- a/peridottrack/frameconnection.py
+++ b/peridottrack/frameconnection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from peridottrack import log
@@ -13,6 +14,10 @@
 
 READ_BYTES = 64 << 10
 """Most bytes that are read at once."""
+RECEIVE_BUFFER_BYTES = 64 << 10
+"""Receive buffer of a link; the kernel takes up to twice that. By itself it would enlarge the
+buffer to several megabytes once a link is read fast. At a round trip of 1 ms this allows 64 MB/s.
+"""
 PARTS_PER_TURN = 16
 """Most parts that are encoded before the loop serves others."""
 
@@ -45,6 +50,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(PART_BYTES)
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop the transport, so that later writes are ignored."""
--- a/peridottrack/upstream.py
+++ b/peridottrack/upstream.py
@@ -32,6 +32,9 @@
 """A connection idle for longer is not used for a request that may run at most once."""
 READ_BYTES = 32 << 10
 """Most bytes that are read and parsed at once, so that a fast sender does not hold up the loop."""
+RECEIVE_BUFFER_BYTES = 64 << 10
+"""Receive buffer of a connection to an instance on the same host, for the same reason as that of a
+link (`peridottrack.frameconnection`)."""
 MAX_OVERHEAD_BYTES = 32 << 10
 """Most bytes of one exchange beside bodies: heads, interim responses, chunk framing, trailers."""
 OVERHEAD_SHARE = 1 / 8
@@ -406,5 +409,7 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotConnected(f"{self._endpoint}: {error!r}") from error
-        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        opened = transport.get_extra_info("socket")
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         return connection
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import struct
+import termios
 from collections.abc import Awaitable, Callable
 
 from peridottrack.config import Settings
@@ -20,6 +23,16 @@
 
 RawHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
+MOST_UNREAD_BYTES = 256 << 10
+"""Most bytes that a node may have received on a connection and not read: those of a hundred links
+are an eighth of the memory of the smallest host."""
+
+
+def unread_bytes(transport):
+    """Return the bytes that the kernel has received on a connection and nobody has read."""
+    answer = fcntl.ioctl(transport.get_extra_info("socket"), termios.FIONREAD, b"\0" * 4)
+    return struct.unpack("i", answer)[0]
+
 
 def make_instance(number: int, service: str = "katalog", domain: str = "a", slots: int = 18):
     return Instance(
--- a/tests/test_linkbodies.py
+++ b/tests/test_linkbodies.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
+from helpers import MOST_UNREAD_BYTES, unread_bytes
 
 from peridottrack.bytebudget import ByteBudget
 from peridottrack.clock import LoopClock
@@ -29,6 +30,7 @@
 HEAD = b"A: " + b"a" * 1000 + b"\r\n"
 SIZE = 20 * PART_BYTES + 1
 LIMIT = int(1.5 * SIZE)
+FAST_TRANSFERS = 100
 
 
 def make_request(number, body, budget_s=5.0, again=False):
@@ -241,3 +243,21 @@
     pair.gate.go.set()
     assert isinstance(await pair.send(1, bytes(MIN_SPLIT_BYTES)), InstanceResponse)
     assert not isinstance(await pair.send(2, b""), Refusal)
+
+
+@pytest.mark.parametrize("of_the_server", [True, False])
+async def test_bytes_that_a_busy_node_has_not_read_are_bounded(pair, of_the_server):
+    """The kernel enlarges the buffer of a connection that was read fast before."""
+    pair.gate.go.set()
+    pair.gate.answer = b"a" * SIZE
+    for number in range(FAST_TRANSFERS):
+        await pair.send(number, b"a" * SIZE)
+    sender, receiver = server_connection(pair)._transport, pair.link._connection._transport
+    if of_the_server:
+        sender, receiver = receiver, sender
+    receiver.pause_reading()
+    sender.write(b"a" * (16 << 20))
+    await asyncio.sleep(0.2)
+    assert unread_bytes(receiver) < MOST_UNREAD_BYTES
+    sender.abort()
+    receiver.abort()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,6 +7,7 @@
 
 import pytest
 from endless import CHUNKED, ENDLESS_BODIES, ENDLESS_HEADS, HEAD, REQUEST_ID, by_name
+from helpers import MOST_UNREAD_BYTES, unread_bytes
 from users_platform import InstanceStandin
 
 from peridottrack.clock import LoopClock
@@ -23,6 +24,8 @@
 MAX_BODIES_MEMORY_BYTES = 100 << 20
 """For all bodies: half of the 200 MB that the smallest process may use, which itself needs 60."""
 CONCURRENT = 8
+LARGE_ANSWER = 8 << 20
+FAST_ANSWERS = 20
 TRACED_GIVE_UP_S = 10.0
 """For the tests of the memory of bodies, as tracing it takes time."""
 
@@ -163,3 +166,19 @@
     send_endless(instance, start, b"x", pause_s=10.0)
     with pytest.raises((BrokeOff, InvalidStatus)):
         await exchange(pool)
+
+
+async def test_bytes_that_a_busy_gate_has_not_read_are_bounded(instance, pool):
+    """The kernel enlarges the buffer of a connection that was read fast before."""
+    instance.script.answer_bytes = LARGE_ANSWER
+    for _ in range(FAST_ANSWERS):
+        await exchange(pool)
+    connection = await pool.acquire(at_most_once=False)
+    transport = connection._transport
+    transport.pause_reading()
+    asking = asyncio.create_task(
+        connection.exchange(b"GET /stock/1 HTTP/1.1\r\n\r\n", REQUEST_ID, b"request-id", False)
+    )
+    await asyncio.sleep(0.2)
+    assert 0 < unread_bytes(transport) < MOST_UNREAD_BYTES
+    asking.cancel()
