Send bodies from 16 KiB on in parts, so that links hold no copies of them

A node whose links are held up, such as one that is cut off, held the bodies of a crowd twice: once for the requests, as the budget counts, and once in the buffers of its links, up to 4 MB each.

Cause: a body below 64 KiB was sent in one frame, which the transport copies.

Evidence: the new test of test_linkbodies sends 200 bodies of 60,000 bytes to a peer that does not read: 8.3 MB were copied, of at most 8 KiB a request.

Change: bodies and answers above 16 KiB, the size of a part, are sent in parts, which are not copied before they leave.

--- a/peridottrack/linkbodies.py
+++ b/peridottrack/linkbodies.py
@@ -16,8 +16,9 @@
 PART_BYTES = 16 << 10
 """Size of a part: 26 ms on the slowest links of 5 Mbit/s, which is how long a frame that is written
 meanwhile has to wait."""
-MIN_SPLIT_BYTES = 64 << 10
-"""Size from which a body is sent in parts."""
+MIN_SPLIT_BYTES = PART_BYTES + 1
+"""Size from which a body is sent in parts. A smaller one is copied to the buffer of the transport,
+which grows while the peer does not read."""
 
 
 class OutgoingBodies:
--- a/tests/test_linkbodies.py
+++ b/tests/test_linkbodies.py
@@ -30,6 +30,8 @@
 HEAD = b"A: " + b"a" * 1000 + b"\r\n"
 SIZE = 20 * PART_BYTES + 1
 LIMIT = int(1.5 * SIZE)
+MIDDLE_BODY = 60_000
+MANY_REQUESTS = 200
 FAST_TRANSFERS = 100
 
 
@@ -245,6 +247,15 @@
     assert not isinstance(await pair.send(2, b""), Refusal)
 
 
+async def test_bodies_for_a_peer_that_does_not_read_are_not_copied(pair):
+    """Those of its requests are held, and counted, where they arrived from their callers."""
+    server_connection(pair)._transport.pause_reading()
+    for number in range(MANY_REQUESTS):
+        pair.send(number, b"a" * MIDDLE_BODY)
+    await asyncio.sleep(0.1)
+    assert pair.link._connection.unsent_bytes() < MANY_REQUESTS * REQUEST_BYTES
+
+
 @pytest.mark.parametrize("of_the_server", [True, False])
 async def test_bytes_that_a_busy_node_has_not_read_are_bounded(pair, of_the_server):
     """The kernel enlarges the buffer of a connection that was read fast before."""
