A gate gets the slot of a request back that starts in the step that ends it

Cause: the end of a link cancels the tasks of all its requests in one step. The first one that ran gives its slot back, and the gate starts a queued one whose task is cancelled, too, but has not run since. Its future was cancelled with it and does not take the verdict, so the task concluded that it had no slot. A wait that ends by its timeout had the same gap.

Change: the end of a wait asks the gate whether the request runs.

--- a/peridottrack/controllers/gate.py
+++ b/peridottrack/controllers/gate.py
@@ -221,11 +221,9 @@
             async with asyncio.timeout_at(self.gate.latest_start(pending.admission)):
                 verdict = await pending.decision
         except TimeoutError:
-            verdict = (
-                Verdict.TOO_LATE if self.gate.cancel(pending.admission) else _final_verdict(pending)
-            )
+            verdict = self._end_wait(pending)
         except asyncio.CancelledError:
-            if not self.gate.cancel(pending.admission) and _final_verdict(pending) is Verdict.RUN:
+            if self._end_wait(pending) is Verdict.RUN:
                 self.gate.release(pending.admission, False)
             raise
         if verdict is Verdict.RUN and not self.has_room():
@@ -236,6 +234,15 @@
         else:
             self._refuse(pending, KIND_BY_VERDICT[verdict], Ran.NO, verdict.value)
 
+    def _end_wait(self, pending: _PendingRequest) -> Verdict:
+        """Remove a request from the queue; return its verdict if it has one already."""
+        decision = pending.decision
+        if decision.done() and not decision.cancelled():
+            return decision.result()
+        # It was cancelled with the wait, so it cannot tell whether the request was started since.
+        self.gate.cancel(pending.admission)
+        return Verdict.RUN if self.gate.is_running(pending.admission) else Verdict.TOO_LATE
+
     async def _is_unresponsive(self, admission: AdmissionRequest) -> bool:
         """Probe the instance if a slow run would miss the target; return whether it timed out.
 
@@ -459,12 +466,6 @@
         decision.set_result(verdict)
 
 
-def _final_verdict(pending: _PendingRequest) -> Verdict:
-    """Return the verdict of a request that is no longer queued."""
-    known = pending.decision.done() and not pending.decision.cancelled()
-    return pending.decision.result() if known else Verdict.TOO_LATE
-
-
 def _find_value(block: bytes, name: bytes) -> bytes:
     for line in block.split(b"\r\n"):
         key, _, value = line.partition(b": ")
--- a/peridottrack/gate.py
+++ b/peridottrack/gate.py
@@ -342,6 +342,10 @@
         """Number of running requests."""
         return len(self._running)
 
+    def is_running(self, request: AdmissionRequest) -> bool:
+        """Return whether a request has a slot."""
+        return request in self._running
+
     @property
     def waiting(self) -> int:
         """Number of queued requests."""
