A closing node does not pass on what arrives together with a connection's last request

Cause: what follows the last request of a connection is ignored, but only from the next piece of input on; the second request was in the same piece.

Evidence: the new test of test_ingress failed: the request was handled.

Change: a request behind the last one is not handled, wherever it arrives.

--- a/peridottrack/ingress.py
+++ b/peridottrack/ingress.py
@@ -410,6 +410,9 @@
     def _on_request(self, request: CallerRequest, last: bool) -> None:
         """Start handling a request."""
         self._cancel_timer()
+        if self._last_request_read:
+            # It arrived in one piece with the last request.
+            return
         self._last_request_read = last = self._ingress.closing or last
         body_bytes = len(request.body)
         reserved = REQUEST_BYTES + request.held_bytes
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -356,6 +356,21 @@
     assert await reader.read() == b""
 
 
+async def test_request_that_arrives_with_the_last_one_of_a_closing_node_is_not_run(server, caller):
+    reader, writer = caller
+    writer.write(get("/1"))
+    server.respond(b"/1")
+    await read_response(reader)
+    server.ingress.begin_close()
+    writer.write(get("/2") + get("/3"))
+    await server.until(lambda: len(server.requests) > 1)
+    server.respond(b"/2")
+    assert (await read_response(reader))[2] == b"ok"
+    assert await reader.read() == b""
+    assert [request.target for request in server.requests] == [b"/1", b"/2"]
+    assert server.ingress.in_flight == 0
+
+
 async def test_request_behind_one_that_asked_to_close_is_not_run(server, caller):
     reader, writer = caller
     writer.write(get("/1", "Connection: close\r\n") + get("/2"))
