An account that loses its quota after its callers have left stops no others

Cause: a caller that leaves was removed from the waiting requests of its account, but the account stayed among those that wait. If a document without a quota for it came before the next ask, its state was deleted, and each later ask failed with a KeyError, for all accounts.

Evidence: the new test of test_quotas failed with this KeyError.

Change: with its state, an account is removed from those that wait.

--- a/peridottrack/quotas/spender.py
+++ b/peridottrack/quotas/spender.py
@@ -186,6 +186,8 @@
         for account, state in list(self._state_by_id.items()):
             if account not in account_by_id and not state.waiting:
                 del self._state_by_id[account]
+                # Its callers may have left since the last ask.
+                self._waiting_ids.discard(account)
         if slots != self._slots:
             self._slots = slots
             self._holder_by_slot.clear()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -396,6 +396,25 @@
     assert holder.answer(NODE, replace(ask, slots=0), 1.1).released
 
 
+def test_account_that_loses_its_limit_once_its_callers_have_left():
+    """Requests of other accounts are still asked for, and refused if no holder answers."""
+    spender = a_spender()
+    leaving = Waiter(1.0, lambda decision: None)
+    spender.admit(HUT_ID, 1.0)
+    spender.wait(HUT_ID, leaving)
+    spender.give_up(HUT_ID, leaving)
+    other = make_account("other", 40.0, 10)
+    other_id = account_id(other.name)
+    spender.set_accounts({other_id: other}, SLOTS)
+    decisions = []
+    spender.admit(other_id, 1.0)
+    spender.wait(other_id, Waiter(1.0, decisions.append))
+    ((_, ask),) = spender.asks(1.0)
+    assert [entry.account for entry in ask.entries] == [other_id]
+    spender.expire(1.0 + MAX_WAIT_S)
+    assert [each.verdict for each in decisions] == [Verdict.UNSETTLED]
+
+
 def test_asks_and_grants_of_many_accounts_fit_into_a_datagram():
     entries = tuple(QuotaAskEntry(2**64 - n - 1, 60_000, 60_000, 60_000) for n in range(32))
     ask = Message(NODE, QuotaAsk(2**32 - 1, 2**63, 16, 2**16 - 1, 2**16 - 1, 60_000, entries))
