A token that arrives in the step that cancels its request goes to the next one

What callers saw: none reported it. A client that left while its request waited for a token took the token along, if both came in one step of the loop: its account got one request less until the token would have expired, and the next waiting request was refused or waited for another answer.

A waiting request's future is cancelled before its task runs; a token that arrives in between was passed to the future alone, which no longer took it. QuotaController.admit then saw a cancelled future and gave nothing back.

Change: the waiter itself keeps its decision, and QuotaSpender.give_up takes the token back.

--- a/peridottrack/quotas/controller.py
+++ b/peridottrack/quotas/controller.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from peridottrack import log
@@ -93,15 +94,13 @@
         decision = self.spender.admit(account_key, now)
         if decision is None:
             future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-            waiter = Waiter(now, lambda decided: _resolve(future, decided))
+            waiter = Waiter(now, partial(_resolve, future))
             self.spender.wait(account_key, waiter)
             self._schedule_flush()
             try:
                 decision = await future
             except asyncio.CancelledError:
-                if future.done() and not future.cancelled():
-                    self.give_back(account, future.result())
-                self.spender.give_up(account_key, waiter)
+                self.spender.give_up(account_key, waiter, self._now())
                 raise
         self._metrics.quota_requests.labels(decision.verdict.value).inc()
         return decision
--- a/peridottrack/quotas/spender.py
+++ b/peridottrack/quotas/spender.py
@@ -71,10 +71,23 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter:
-    """A request that waits for a token."""
+    """A request that waits for a token.
+
+    Attributes
+    ----------
+    decision
+        What was decided, also if nobody listens any more: a token that arrives in the step in which
+        the request is cancelled is still its own.
+    """
 
     since: float
     on_decision: Callable[[Decision], None]
+    decision: Decision | None = field(default=None, init=False)
+
+    def decide(self, decision: Decision) -> None:
+        """Set what becomes of the request."""
+        self.decision = decision
+        self.on_decision(decision)
 
 
 @dataclass(slots=True)
@@ -226,11 +239,13 @@
         self._state_by_id[account].waiting.append(waiter)
         self._waiting_ids.add(account)
 
-    def give_up(self, account: AccountId, waiter: Waiter) -> None:
-        """Forget a request whose caller is gone."""
-        state = self._state_by_id.get(account)
-        if state is not None and waiter in state.waiting:
-            state.waiting.remove(waiter)
+    def give_up(self, account: AccountId, waiter: Waiter, now: float) -> None:
+        """Forget a request that waits no longer; take its token back if it got one meanwhile."""
+        decision = waiter.decision
+        if decision is None:
+            self._state_by_id[account].waiting.remove(waiter)
+        elif decision.verdict is Verdict.ADMITTED:
+            self.give_back(account, decision.expires_at, now)
 
     def give_back(self, account: AccountId, expires_at: float, now: float) -> None:
         """Take back the token of a request that was not sent to an instance."""
@@ -286,7 +301,7 @@
         for account in list(self._waiting_ids):
             state = self._state_by_id[account]
             while state.waiting and now - state.waiting[0].since >= MAX_WAIT_S:
-                state.waiting.popleft().on_decision(
+                state.waiting.popleft().decide(
                     Decision(Verdict.UNSETTLED, retry_s=UNSETTLED_RETRY_S)
                 )
             if not state.waiting:
@@ -418,7 +433,7 @@
         if entry.hold_ms:
             # Those who came after the ask would wait in vain, too.
             while state.waiting:
-                state.waiting.popleft().on_decision(_refusal(state, now))
+                state.waiting.popleft().decide(_refusal(state, now))
             self._waiting_ids.discard(account)
 
     def _note_settled(self, account: AccountId, entry: QuotaGrantEntry) -> None:
@@ -433,7 +448,7 @@
             token = self._pop_token(state, now)
             if token is None:
                 return
-            state.waiting.popleft().on_decision(Decision(Verdict.ADMITTED, token))
+            state.waiting.popleft().decide(Decision(Verdict.ADMITTED, token))
         self._waiting_ids.discard(account)
 
     def _grant_s(self, account: AccountId) -> float:
--- a/tests/test_quota_controller.py
+++ b/tests/test_quota_controller.py
@@ -11,14 +11,17 @@
 
 from peridottrack.accounts.model import Account, AccountName, AccountTable
 from peridottrack.memberlist import MemberList
-from peridottrack.messages import MemberState, QuotaAsk, QuotaGrant
+from peridottrack.messages import MemberState, Message, QuotaAsk, QuotaGrant, QuotaGrantEntry
 from peridottrack.metrics import Metrics
 from peridottrack.quotas.controller import DEAD_COUNTS_S, SETTLING_S, QuotaController
-from peridottrack.quotas.limits import QuotaTolerance, Slot
+from peridottrack.quotas.limits import QuotaTolerance, Slot, account_id
 from peridottrack.quotas.ranking import choose_holder
+from peridottrack.quotas.spender import Verdict
 
 TOLERANCE = QuotaTolerance(5.0, 0.1, 20.0)
 NODES = 6
+HUT = Account(AccountName("hut"), None, 10.0, 5.0)
+SOON_S = 0.1
 
 
 class Fleet:
@@ -44,8 +47,7 @@
         self.controller = QuotaController(
             TOLERANCE, keys_expire, members, datagrams, Metrics(), lambda: self.time
         )
-        account = Account(AccountName("hut"), None, 10.0, 5.0)
-        self.controller.set_accounts(AccountTable([(account, ["k"])]))
+        self.controller.set_accounts(AccountTable([(HUT, ["k"])]))
 
     def set_state(self, number, state):
         self.members.put(replace(self.updates[number], state=state, incarnation=2), self.time)
@@ -55,6 +57,13 @@
         self.controller._update_members(self.time)
         self.controller._check_rank(self.time)
 
+    def grant(self, tokens):
+        """Answer the last ask of the controller."""
+        node, ask = self.sent[-1]
+        entry = QuotaGrantEntry(account_id(HUT.name), tokens, 0, 0, False)
+        grant = QuotaGrant(ask.number, 1, False, (entry,))
+        self.controller._handle_grant(Message(node, grant))
+
     def lend(self, number, slots=0b1111):
         """Let another node lend its share of some slots; return what it is sent."""
         node, holder = self.updates[number].node, self.controller.holder
@@ -125,8 +134,7 @@
     async def run():
         fleet = Fleet()
         fleet.check()
-        account = Account(AccountName("hut"), None, 10.0, 5.0)
-        task = asyncio.create_task(fleet.controller.admit(account))
+        task = asyncio.create_task(fleet.controller.admit(HUT))
         await asyncio.sleep(0.01)
         assert fleet.controller.spender.has_waiting
         assert len(fleet.sent) == len(set(fleet.controller.spender.holders().values()))
@@ -136,3 +144,25 @@
         assert not fleet.controller.spender.has_waiting
 
     asyncio.run(run())
+
+
+# A token went to a request that was cancelled in the same step, and to no other one after it.
+@pytest.mark.parametrize("cancelled_first", [True, False])
+def test_token_that_arrives_in_the_step_that_cancels_its_request_goes_to_the_next(cancelled_first):
+    async def run():
+        fleet = Fleet()
+        fleet.check()
+        leaving, waiting = (asyncio.create_task(fleet.controller.admit(HUT)) for _ in range(2))
+        await asyncio.sleep(0.01)
+        if cancelled_first:
+            leaving.cancel()
+            fleet.grant(1)
+        else:
+            fleet.grant(1)
+            leaving.cancel()
+        async with asyncio.timeout(SOON_S):
+            decision = await waiting
+        assert leaving.cancelled()
+        return decision.verdict
+
+    assert asyncio.run(run()) is Verdict.ADMITTED
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -402,7 +402,7 @@
     leaving = Waiter(1.0, lambda decision: None)
     spender.admit(HUT_ID, 1.0)
     spender.wait(HUT_ID, leaving)
-    spender.give_up(HUT_ID, leaving)
+    spender.give_up(HUT_ID, leaving, 1.0)
     other = make_account("other", 40.0, 10)
     other_id = account_id(other.name)
     spender.set_accounts({other_id: other}, SLOTS)
