Requests that wait for a token are refused in time whatever fails

Cause: QuotaSpender kept twice which accounts wait, in a set and in a queue with each account's state. One KeyError between the two ended the flush for all accounts, before the waits that are over were ended and before the next check was scheduled; and admit waited without a bound of its own.

Evidence: the new test lets each ask fail.

Change: the queues of waiting requests are the only record of who waits. A flush ends the waits that are over, and schedules the next check, also if asking fails; a waiting request ends by itself 0.1 s after the longest wait.

--- a/peridottrack/quotas/controller.py
+++ b/peridottrack/quotas/controller.py
@@ -16,15 +16,17 @@
 from peridottrack.messages import MemberState, Message, QuotaAsk, QuotaGrant
 from peridottrack.metrics import Metrics
 from peridottrack.quotas.holder import QuotaHolder
-from peridottrack.quotas.limits import QuotaTolerance, Slot, account_id, slot_count
+from peridottrack.quotas.limits import AccountId, QuotaTolerance, Slot, account_id, slot_count
 from peridottrack.quotas.ranking import choose_holder
-from peridottrack.quotas.spender import Decision, QuotaSpender, Waiter
+from peridottrack.quotas.spender import MAX_WAIT_S, UNANSWERED, Decision, QuotaSpender, Waiter
 from peridottrack.types import NodeId
 
 TICK_S = 0.25
 """Interval at which loans are checked; a fraction of the interval of their renewal."""
 WAITING_TICK_S = 0.02
 """Interval at which unanswered asks are checked while requests wait."""
+WAIT_SLACK_S = 0.1
+"""Time beyond the longest wait after which a request no longer relies on these checks."""
 MEMBERS_INTERVAL_S = 1.0
 """Interval at which the members are read; asks that stay unanswered show sooner that one is gone.
 """
@@ -93,18 +95,27 @@
         now = self._now()
         decision = self.spender.admit(account_key, now)
         if decision is None:
-            future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-            waiter = Waiter(now, partial(_resolve, future))
-            self.spender.wait(account_key, waiter)
-            self._schedule_flush()
-            try:
-                decision = await future
-            except asyncio.CancelledError:
-                self.spender.give_up(account_key, waiter, self._now())
-                raise
+            decision = await self._wait_for_token(account_key, now)
         self._metrics.quota_requests.labels(decision.verdict.value).inc()
         return decision
 
+    async def _wait_for_token(self, account: AccountId, now: float) -> Decision:
+        future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(now, partial(_resolve, future))
+        self.spender.wait(account, waiter)
+        self._schedule_flush()
+        try:
+            async with asyncio.timeout(MAX_WAIT_S + WAIT_SLACK_S):
+                return await future
+        except TimeoutError:
+            if waiter.decision is not None:
+                return waiter.decision
+            self.spender.give_up(account, waiter, self._now())
+            return UNANSWERED
+        except asyncio.CancelledError:
+            self.spender.give_up(account, waiter, self._now())
+            raise
+
     def give_back(self, account: Account, decision: Decision) -> None:
         """Take back the token of a request that has not reached an instance."""
         self.spender.give_back(account_id(account.name), decision.expires_at, self._now())
@@ -145,20 +156,25 @@
 
     def _flush_scheduled_once(self) -> None:
         self._flush_scheduled = False
-        self._flush()
-        if self.spender.has_waiting and not self._flush_scheduled:
-            self._flush_scheduled = True
-            asyncio.get_running_loop().call_later(WAITING_TICK_S, self._flush_scheduled_once)
+        try:
+            self._flush()
+        finally:
+            if self.spender.has_waiting and not self._flush_scheduled:
+                self._flush_scheduled = True
+                asyncio.get_running_loop().call_later(WAITING_TICK_S, self._flush_scheduled_once)
 
     def _flush(self) -> None:
         now = self._now()
-        for holder, ask in list(self.spender.asks(now)):
-            self._metrics.quota_asks.inc()
-            if holder == self._local_node:
-                self.spender.receive(holder, self.holder.answer(holder, ask, now), now)
-            else:
-                self._datagrams.send(holder, Message(self._local_node, ask))
-        self.spender.expire(now)
+        try:
+            for holder, ask in list(self.spender.asks(now)):
+                self._metrics.quota_asks.inc()
+                if holder == self._local_node:
+                    self.spender.receive(holder, self.holder.answer(holder, ask, now), now)
+                else:
+                    self._datagrams.send(holder, Message(self._local_node, ask))
+        finally:
+            # Waits end, whatever becomes of the asks.
+            self.spender.expire(now)
 
     def _handle_ask(self, message: Message) -> None:
         assert isinstance(message.body, QuotaAsk)
--- a/peridottrack/quotas/spender.py
+++ b/peridottrack/quotas/spender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import math
 from collections import deque
@@ -69,6 +70,10 @@
     retry_s: float = 0.0
 
 
+UNANSWERED = Decision(Verdict.UNSETTLED, retry_s=UNSETTLED_RETRY_S)
+"""Decision on a request for which no holder has answered in time."""
+
+
 @dataclass(slots=True, eq=False)
 class Waiter:
     """A request that waits for a token.
@@ -107,7 +112,6 @@
     """
 
     tokens: deque[float] = field(default_factory=deque)
-    waiting: deque[Waiter] = field(default_factory=deque)
     hold_until: float = -math.inf
     retry_at: float = -math.inf
     unsettled: bool = False
@@ -177,7 +181,8 @@
         self._lender = Lender(started_at, 2 * tolerance.window_s)
         self._account_by_id: Mapping[AccountId, Account] = {}
         self._state_by_id: dict[AccountId, _AccountState] = {}
-        self._waiting_ids: set[AccountId] = set()
+        # Has no empty queues.
+        self._waiting_by_id: dict[AccountId, deque[Waiter]] = {}
         self._contact_by_node: dict[NodeId, _Contact] = {}
         self._numbers = itertools.count(1)
         self._members: frozenset[NodeId] = frozenset()
@@ -196,11 +201,9 @@
     def set_accounts(self, account_by_id: Mapping[AccountId, Account], slots: int) -> None:
         """Apply the limits of a document."""
         self._account_by_id = account_by_id
-        for account, state in list(self._state_by_id.items()):
-            if account not in account_by_id and not state.waiting:
+        for account in list(self._state_by_id):
+            if account not in account_by_id and account not in self._waiting_by_id:
                 del self._state_by_id[account]
-                # Its callers may have left since the last ask.
-                self._waiting_ids.discard(account)
         if slots != self._slots:
             self._slots = slots
             self._holder_by_slot.clear()
@@ -222,9 +225,7 @@
 
     def admit(self, account: AccountId, now: float) -> Decision | None:
         """Decide on a request at once; None if it must wait for a holder's answer."""
-        state = self._state_by_id.get(account)
-        if state is None:
-            state = self._state_by_id[account] = _AccountState()
+        state = self._state(account)
         state.record_request(now)
         token = self._pop_token(state, now)
         if token is not None:
@@ -236,14 +237,16 @@
 
     def wait(self, account: AccountId, waiter: Waiter) -> None:
         """Let a request wait for a token after `admit` returned None."""
-        self._state_by_id[account].waiting.append(waiter)
-        self._waiting_ids.add(account)
+        self._waiting_by_id.setdefault(account, deque()).append(waiter)
 
     def give_up(self, account: AccountId, waiter: Waiter, now: float) -> None:
         """Forget a request that waits no longer; take its token back if it got one meanwhile."""
         decision = waiter.decision
         if decision is None:
-            self._state_by_id[account].waiting.remove(waiter)
+            waiting = self._waiting_by_id.get(account, deque())
+            with contextlib.suppress(ValueError):
+                waiting.remove(waiter)
+            self._forget_if_empty(account)
         elif decision.verdict is Verdict.ADMITTED:
             self.give_back(account, decision.expires_at, now)
 
@@ -254,6 +257,16 @@
             state.tokens.appendleft(expires_at)
             self._serve(account, state, now)
 
+    def _state(self, account: AccountId) -> _AccountState:
+        state = self._state_by_id.get(account)
+        if state is None:
+            state = self._state_by_id[account] = _AccountState()
+        return state
+
+    def _forget_if_empty(self, account: AccountId) -> None:
+        if not self._waiting_by_id.get(account, True):
+            del self._waiting_by_id[account]
+
     # -- holders -----------------------------------------------------------------------
 
     def asks(self, now: float) -> Iterator[tuple[NodeId, QuotaAsk]]:
@@ -298,19 +311,15 @@
 
     def expire(self, now: float) -> None:
         """Refuse requests that have waited too long."""
-        for account in list(self._waiting_ids):
-            state = self._state_by_id[account]
-            while state.waiting and now - state.waiting[0].since >= MAX_WAIT_S:
-                state.waiting.popleft().decide(
-                    Decision(Verdict.UNSETTLED, retry_s=UNSETTLED_RETRY_S)
-                )
-            if not state.waiting:
-                self._waiting_ids.discard(account)
+        for account, waiting in list(self._waiting_by_id.items()):
+            while waiting and now - waiting[0].since >= MAX_WAIT_S:
+                waiting.popleft().decide(UNANSWERED)
+            self._forget_if_empty(account)
 
     @property
     def has_waiting(self) -> bool:
         """Whether requests wait for tokens."""
-        return bool(self._waiting_ids)
+        return bool(self._waiting_by_id)
 
     def _holder(self, slot: Slot, now: float) -> NodeId | None:
         """Return the holder to ask: the former one while it answers, else the highest-ranked."""
@@ -367,10 +376,9 @@
 
     def _accounts_to_ask(self, now: float) -> dict[NodeId, list[AccountId]]:
         accounts: dict[NodeId, list[AccountId]] = {}
-        for account in self._waiting_ids:
-            state = self._state_by_id[account]
+        for account in self._waiting_by_id:
             holder = self._holder(slot_of(account, self._slots), now) if self._slots else None
-            if holder is not None and state.waiting:
+            if holder is not None:
                 accounts.setdefault(holder, []).append(account)
         return accounts
 
@@ -406,12 +414,12 @@
         )
 
     def _entry(self, account: AccountId, now: float) -> QuotaAskEntry:
-        state = self._state_by_id[account]
+        state = self._state(account)
         want = int(state.demand_now(now) * self._grant_s(account))
         refused, state.refused = state.refused, 0
         return QuotaAskEntry(
             account,
-            min(len(state.waiting), MAX_TOKENS),
+            min(len(self._waiting_by_id.get(account, ())), MAX_TOKENS),
             min(want, MAX_TOKENS),
             min(refused, MAX_TOKENS),
         )
@@ -432,9 +440,8 @@
         self._serve(account, state, now)
         if entry.hold_ms:
             # Those who came after the ask would wait in vain, too.
-            while state.waiting:
-                state.waiting.popleft().decide(_refusal(state, now))
-            self._waiting_ids.discard(account)
+            for waiter in self._waiting_by_id.pop(account, ()):
+                waiter.decide(_refusal(state, now))
 
     def _note_settled(self, account: AccountId, entry: QuotaGrantEntry) -> None:
         slot = slot_of(account, self._slots)
@@ -444,12 +451,13 @@
             self._unsettled_slots.discard(slot)
 
     def _serve(self, account: AccountId, state: _AccountState, now: float) -> None:
-        while state.waiting:
+        waiting = self._waiting_by_id.get(account)
+        while waiting:
             token = self._pop_token(state, now)
             if token is None:
                 return
-            state.waiting.popleft().decide(Decision(Verdict.ADMITTED, token))
-        self._waiting_ids.discard(account)
+            waiting.popleft().decide(Decision(Verdict.ADMITTED, token))
+        self._forget_if_empty(account)
 
     def _grant_s(self, account: AccountId) -> float:
         limits = self._account_by_id.get(account)
--- a/tests/test_quota_controller.py
+++ b/tests/test_quota_controller.py
@@ -10,13 +10,19 @@
 from helpers import make_update
 
 from peridottrack.accounts.model import Account, AccountName, AccountTable
+from peridottrack.clock import run_virtual
 from peridottrack.memberlist import MemberList
 from peridottrack.messages import MemberState, Message, QuotaAsk, QuotaGrant, QuotaGrantEntry
 from peridottrack.metrics import Metrics
-from peridottrack.quotas.controller import DEAD_COUNTS_S, SETTLING_S, QuotaController
+from peridottrack.quotas.controller import (
+    DEAD_COUNTS_S,
+    SETTLING_S,
+    WAITING_TICK_S,
+    QuotaController,
+)
 from peridottrack.quotas.limits import QuotaTolerance, Slot, account_id
 from peridottrack.quotas.ranking import choose_holder
-from peridottrack.quotas.spender import Verdict
+from peridottrack.quotas.spender import MAX_WAIT_S, Verdict
 
 TOLERANCE = QuotaTolerance(5.0, 0.1, 20.0)
 NODES = 6
@@ -166,3 +172,31 @@
         return decision.verdict
 
     assert asyncio.run(run()) is Verdict.ADMITTED
+
+
+# An error while asking kept all waiting requests waiting for good.
+def test_requests_are_refused_in_time_while_no_ask_can_be_sent():
+    def fail(node, message):
+        raise OSError("no route to host")
+
+    async def run(clock_stands):
+        fleet = Fleet()
+        fleet.check()
+        fleet.controller._datagrams.send = fail
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        task = asyncio.create_task(fleet.controller.admit(HUT))
+        await asyncio.sleep(0.01)
+        if not clock_stands:
+            fleet.time += MAX_WAIT_S
+        async with asyncio.timeout(10 * MAX_WAIT_S):
+            return (await task).verdict, fleet.controller.spender.has_waiting
+
+    async def measure(clock_stands):
+        started_at = asyncio.get_running_loop().time()
+        outcome = await run(clock_stands)
+        return outcome, asyncio.get_running_loop().time() - started_at
+
+    for clock_stands, limit_s in ((False, 3 * WAITING_TICK_S), (True, 2 * MAX_WAIT_S)):
+        outcome, took_s = run_virtual(measure(clock_stands))
+        assert outcome == (Verdict.UNSETTLED, False)
+        assert took_s <= limit_s
