A response that arrives in the step that cancels its call gives its slot back

What callers saw: none reported it. In `peridottrack node`, a caller that left in the step in which a repeatable call got a streamed response left its slot at the instance taken for good.

RetryFilter waits for attempts that run as tasks; a task that had ended with a response was neither returned nor cancelled, and only the last of two responses was closed.

Change: each attempt whose response is not returned is cancelled, and its response is closed if it has one, whenever it ended.

--- a/peridottrack/call.py
+++ b/peridottrack/call.py
@@ -167,3 +167,15 @@
     """Cancel a task and wait until it has cleaned up."""
     task.cancel()
     await asyncio.wait([task])
+
+
+def close_unread(task: asyncio.Task[Response]) -> None:
+    """Close the response of a finished task that nobody will read, if it has one.
+
+    A streamed response holds a slot of its instance until it is closed.
+    """
+    if task.cancelled() or task.exception() is not None:
+        return
+    close = task.result().close
+    if close is not None:
+        close(False)
--- a/peridottrack/filters/retry.py
+++ b/peridottrack/filters/retry.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from peridottrack.call import Call, Proceed, Response, cancel_and_wait
+from peridottrack.call import Call, Proceed, Response, cancel_and_wait, close_unread
 from peridottrack.controllers.load import LoadController
 from peridottrack.errors import RULE_BY_KIND, ErrorKind, Ran
 from peridottrack.exceptions import RequestError
@@ -70,20 +70,24 @@
         first = loop.create_task(proceed(call))
         first.add_done_callback(first_event)
         timer = loop.call_later(hedge_after_s, first_event)
+        attempts, used = [first], None
         try:
             await first_event.future
-            if first.done() or not self._load.may_hedge(call):
-                return await first
-            hedge_call = dataclasses.replace(
-                call, attempt=call.attempt + 1, reason="hedge", on_slow=None
-            )
-            hedge = loop.create_task(proceed(hedge_call))
-        except asyncio.CancelledError:
-            await cancel_and_wait(first)
-            raise
+            if not first.done() and self._load.may_hedge(call):
+                hedge_call = dataclasses.replace(
+                    call, attempt=call.attempt + 1, reason="hedge", on_slow=None
+                )
+                attempts.append(loop.create_task(proceed(hedge_call)))
+            used = await _first_success(attempts)
+            return used.result()
         finally:
             timer.cancel()
-        return await _first_response(first, hedge)
+            for attempt in attempts:
+                if attempt is not used:
+                    # Also one that has ended in the step in which the caller left.
+                    attempt.add_done_callback(close_unread)
+                    if not attempt.done():
+                        await cancel_and_wait(attempt)
 
 
 class FirstEvent:
@@ -101,29 +105,12 @@
             self.future.set_result(None)
 
 
-async def _first_response(first: asyncio.Task[Response], hedge: asyncio.Task[Response]) -> Response:
-    """Return the first response and cancel the other attempt; fail only if both fail."""
-    pending = {first, hedge}
-    try:
-        while pending:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                if task.exception() is None:
-                    return task.result()
-        return first.result()
-    finally:
-        for task in (first, hedge):
-            if not task.done():
-                await cancel_and_wait(task)
-        _close_extra_response(first, hedge)
-
-
-def _close_extra_response(first: asyncio.Task[Response], hedge: asyncio.Task[Response]) -> None:
-    """Close the second response if both arrived at once."""
-    responded = [
-        task for task in (first, hedge) if not task.cancelled() and task.exception() is None
-    ]
-    for task in responded[1:]:
-        close = task.result().close
-        if close is not None:
-            close(False)
+async def _first_success(attempts: list[asyncio.Task[Response]]) -> asyncio.Task[Response]:
+    """Return the first attempt that gets a response; the first one of all if none does."""
+    pending = set(attempts)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task.exception() is None:
+                return task
+    return attempts[0]
