A claimed call whose caller has left closes a response that it cannot store

What callers saw: none reported it. In `peridottrack node`, each caller that left while its keyed call ran, and whose response was streamed and larger than what is stored, left a slot of the instance taken for good.

Cause: a claimed call goes on without its caller; its response was returned to nobody, and only a response that is read to its end or closed gives its slot back.

Evidence: the new test failed: one slot held.

Change: the response of a call whose caller has left is closed when the call ends.

Result: the test passes.

--- a/peridottrack/filters/claim.py
+++ b/peridottrack/filters/claim.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from peridottrack.call import IDEMPOTENCY_KEY_HEADER, Call, Proceed, Response
+from peridottrack.call import IDEMPOTENCY_KEY_HEADER, Call, Proceed, Response, close_unread
 from peridottrack.claims import claim_id
 from peridottrack.controllers.claims import ClaimsController
 from peridottrack.errors import ErrorKind
@@ -43,7 +43,11 @@
         task = asyncio.create_task(self._claims.run(call, claim, proceed))
         self._call_by_task[task] = call
         task.add_done_callback(self._on_done)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(close_unread)
+            raise
 
     def _on_done(self, task: asyncio.Task[Response]) -> None:
         del self._call_by_task[task]
--- a/tests/test_abandoned_calls.py
+++ b/tests/test_abandoned_calls.py
@@ -11,6 +11,7 @@
 from peridottrack.call import Call, Response
 from peridottrack.clock import LoopClock, run_virtual
 from peridottrack.controllers.claims import MAX_STORED_BODY_BYTES
+from peridottrack.filters.claim import ClaimFilter
 from peridottrack.filters.retry import RetryFilter
 from peridottrack.types import RequestId
 
@@ -63,3 +64,21 @@
         return upstream.held
 
     assert run_virtual(run()) == 0
+
+
+# A claimed call goes on without its caller; nobody closed a response that is too large to store.
+def test_streamed_response_to_a_claimed_call_whose_caller_has_left_is_closed():
+    async def run():
+        upstream = Upstream()
+        claims = SimpleNamespace(run=lambda call, claim, proceed: proceed(call))
+        request = SimpleNamespace(headers={"Idempotency-Key": "k"})
+        claimed = a_call(credential="me")
+        claimed.request = request
+        call = asyncio.create_task(ClaimFilter(claims)(claimed, upstream.proceed))
+        await asyncio.sleep(RESPONSE_S / 2)
+        call.cancel()
+        await asyncio.sleep(2 * RESPONSE_S)
+        assert call.cancelled()
+        return upstream.held
+
+    assert run_virtual(run()) == 0
