An error in one subscriber keeps a view of the cluster from no other

Cause: a subject calls its subscribers in turn, and an exception in one keeps the value from those behind it. In `peridottrack node`, an error in the reminder of an instance that leaves kept each view in which it occurs from the balancer.

Change: subscribers log their exceptions as failed background work.

--- a/peridottrack/background.py
+++ b/peridottrack/background.py
@@ -4,9 +4,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from peridottrack import log
 
+T = TypeVar("T")
+
 RESTART_PAUSE_S = 0.5
 """Pause before work that failed is started again."""
 
@@ -22,9 +25,22 @@
             await work()
             return
         except Exception as error:
-            log.logger.exception(
-                "background work failed",
-                work=getattr(work, "__qualname__", repr(work)),
-                error=repr(error),
-            )
+            _log_failure(work, error)
             await asyncio.sleep(RESTART_PAUSE_S)
+
+
+def log_errors(work: Callable[[T], object]) -> Callable[[T], None]:
+    """Return ``work`` with its exceptions logged, for a caller that has others to call after it."""
+
+    def logged(argument: T) -> None:
+        try:
+            work(argument)
+        except Exception as error:
+            _log_failure(work, error)
+
+    return logged
+
+
+def _log_failure(work: Callable[..., object], error: Exception) -> None:
+    name = getattr(work, "__qualname__", repr(work))
+    log.logger.exception("background work failed", work=name, error=repr(error))
--- a/peridottrack/controllers/leaving.py
+++ b/peridottrack/controllers/leaving.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from peridottrack import log
+from peridottrack.background import log_errors
 from peridottrack.controllers.announce import AnnounceController
 from peridottrack.controllers.members import ClusterView, MembersController
 from peridottrack.datagrams import DatagramTransport
@@ -49,7 +50,7 @@
         self.on_change: Callable[[], None] = lambda: None
         datagrams.handle((LeavingReport,), self._handle_report)
         announce.on_leaving = self._record_local
-        members.cluster_views.subscribe(self._remind_nodes)
+        members.cluster_views.subscribe(log_errors(self._remind_nodes))
 
     def in_service(self, instances: Iterable[Instance]) -> list[Instance]:
         """Return the instances that are not known to leave."""
--- a/peridottrack/events.py
+++ b/peridottrack/events.py
@@ -448,7 +448,7 @@
         LogPolicy.LIMITED,
     ),
     "background work failed": Event(
-        "An unexpected exception ended background work of the node, which starts again.",
+        "An unexpected exception ended a step of the node's background work, which goes on.",
         {"work": "its function", "error": "the exception"},
         LogPolicy.LIMITED,
     ),
--- a/peridottrack/mesh.py
+++ b/peridottrack/mesh.py
@@ -20,7 +20,7 @@
 from peridottrack import log
 from peridottrack.accounts.filter import AccountFilter
 from peridottrack.accounts.validity import KeyValidity
-from peridottrack.background import keep_running
+from peridottrack.background import keep_running, log_errors
 from peridottrack.bytebudget import ByteBudget, limit_bytes
 from peridottrack.callerdeadlines import CallerDeadlines
 from peridottrack.clock import LoopClock
@@ -420,7 +420,7 @@
         )
         self.confirmation = ConfirmationController(self.prober, self.local_instance)
         self.local_instance.request_confirmation = self.confirmation.request_and_wait
-        self.members.cluster_views.subscribe(self._update_members)
+        self.members.cluster_views.subscribe(log_errors(self._update_members))
 
     def _local_member(self) -> MemberUpdate:
         return MemberUpdate(
--- a/peridottrack/node.py
+++ b/peridottrack/node.py
@@ -18,7 +18,7 @@
     admin_app,
     announce_app,
 )
-from peridottrack.background import keep_running
+from peridottrack.background import keep_running, log_errors
 from peridottrack.bucket import LoadReportBudget
 from peridottrack.call import build_chain
 from peridottrack.callerserver import CallerListener, CallerServer
@@ -227,9 +227,9 @@
             self.load.set_document(document)
             self.members.set_document_version(self.document.version)
 
-        self.members.cluster_views.subscribe(apply_view)
+        self.members.cluster_views.subscribe(log_errors(apply_view))
         self.leaving.on_change = lambda: apply_view(self.members.cluster_views.value)
-        self.document.documents.subscribe(apply_document)
+        self.document.documents.subscribe(log_errors(apply_document))
         PoisonController(self.poison, self.members, self.datagrams)
 
     def _build_caller_server(self) -> None:
