An error on one link, or in one report, does not end the checks of the others

Cause: all links are checked in one loop. An error on one ended the round, and the loop starts again with the same link, so that those behind it were never pinged again, and never dropped when silent. The timer that samples the slowness of the host was set again only after the report, so that one error in it ended the sampling for good.

Change: an error on a link is logged, and the round goes on; the timer is set first.

--- a/peridottrack/controllers/links.py
+++ b/peridottrack/controllers/links.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from peridottrack.background import log_errors
 from peridottrack.evacuation import EvacuationSet
 from peridottrack.frames import DocumentFrame, DocumentRequest, GateLoad, Hello, LeftInstance
 from peridottrack.gateroute import GateRoute, LocalRoute
@@ -147,7 +148,7 @@
             await asyncio.sleep(TICK_S)
             now = self._clock.now()
             for link in (*self._link_by_node.values(), *self._task_by_removed_link):
-                link.tick(now)
+                log_errors(link.tick)(now)
             self._close_removed()
             if now - self._narrow_checked_at > NARROW_CHECK_S:
                 self._narrow(now)
--- a/peridottrack/controllers/loadreports.py
+++ b/peridottrack/controllers/loadreports.py
@@ -127,10 +127,11 @@
 
     def _sample(self, due: float) -> None:
         now = self._clock.now()
+        # First, so that an error in a report does not end the sampling.
+        self.start_detector()
         change = self._detector.sample(now - due, now)
         if change is not None:
             self.report_slowness(change)
-        self.start_detector()
 
     def report(self) -> None:
         """Send one round of load reports, starting with those sent longest ago."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -96,3 +96,24 @@
     controller._narrow(links.DOCUMENT_LINK_S + 1)
     await asyncio.sleep(0)
     assert link.closed
+
+
+# An error on one link ended the checks of all links behind it, each time.
+async def test_all_links_are_checked_after_one_whose_check_fails(controller, monkeypatch):
+    monkeypatch.setattr(links, "TICK_S", 0.01)
+    checked = []
+
+    def fail(now):
+        raise RuntimeError("a link that cannot be checked")
+
+    members = [make_update(number) for number in (1, 2)]
+    controller._subset.nodes = {update.node for update in members}
+    controller._subset.narrow = lambda: False
+    controller.set_members(members)
+    first, second = controller._link_by_node.values()
+    first.tick, second.tick = fail, checked.append
+    run = asyncio.create_task(controller.run())
+    await asyncio.sleep(0.1)
+    run.cancel()
+    await asyncio.gather(run, return_exceptions=True)
+    assert len(checked) > 1
