--- a/peridottrack/background.py
+++ b/peridottrack/background.py
@@ -25,7 +25,7 @@
             await work()
             return
         except Exception as error:
-            _log_failure(work, error)
+            log_failure(work, error)
             await asyncio.sleep(RESTART_PAUSE_S)
 
 
@@ -36,11 +36,12 @@
         try:
             work(argument)
         except Exception as error:
-            _log_failure(work, error)
+            log_failure(work, error)
 
     return logged
 
 
-def _log_failure(work: Callable[..., object], error: Exception) -> None:
+def log_failure(work: Callable[..., object], error: Exception) -> None:
+    """Log an exception that ended a step of ``work``; to be called while it is handled."""
     name = getattr(work, "__qualname__", repr(work))
     log.logger.exception("background work failed", work=name, error=repr(error))
--- a/peridottrack/journal.py
+++ b/peridottrack/journal.py
@@ -17,6 +17,7 @@
 from typing import Any, Protocol
 
 from peridottrack import log
+from peridottrack.background import log_failure
 from peridottrack.claims import (
     ClaimHandle,
     ClaimId,
@@ -193,7 +194,12 @@
             await asyncio.sleep(self._flush_s)
             batch = tenure.pending[:MAX_BATCH_ENTRIES]
             del tenure.pending[:MAX_BATCH_ENTRIES]
-            outcome = await self._write(tenure, [item.entry for item in batch])
+            outcome = WriteOutcome.UNKNOWN
+            try:
+                outcome = await self._write(tenure, [item.entry for item in batch])
+            except Exception as error:
+                log_failure(self._write, error)
+                self._end(tenure)
             for item in batch:
                 text = item.entry.record.id.text
                 # A later entry of the same claim may wait for the next batch.
@@ -202,7 +208,11 @@
                 if not item.done.done():
                     item.done.set_result(outcome)
             # Inside the loop, so that entries added while the snapshot is written are flushed too.
-            await self._compact(tenure)
+            try:
+                await self._compact(tenure)
+            except Exception as error:
+                log_failure(self._compact, error)
+                self._end(tenure)
 
     async def _write(self, tenure: _Tenure, entries: list[JournalEntry]) -> WriteOutcome:
         if self._tenure is not tenure:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -225,3 +225,37 @@
         assert (await second.claim(entry("k"))).status is ClaimStatus.GRANTED
 
     run_virtual(run())
+
+
+class FailingTable(MemoryTable):
+    """Raises an exception in its n-th transaction."""
+
+    failing = 0
+
+    async def transact(self, writes, writer):
+        self.failing -= 1
+        if self.failing == 0:
+            raise RuntimeError("a transaction that cannot be sent")
+        return await super().transact(writes, writer)
+
+
+# An error while a batch or a snapshot was written left the claims behind it without an answer.
+@pytest.mark.parametrize("failing", [1, 4], ids=["batch", "snapshot"])
+def test_claims_are_answered_after_a_write_that_failed(failing, monkeypatch):
+    monkeypatch.setattr(journal, "ROWS_TO_COMPACT", 2)
+
+    async def run():
+        table = FailingTable()
+        _, (owner,) = owners(table, count=1)
+        assert (await owner.claim(entry("k0"))).status is ClaimStatus.GRANTED
+        table.failing = failing
+        claims = []
+        for number in range(1, 9):
+            claims.append(asyncio.create_task(owner.claim(entry(f"k{number}"))))
+            await asyncio.sleep(0.003)
+        done, pending = await asyncio.wait(claims, timeout=60.0)
+        assert not pending
+        assert {task.result().status for task in done} >= {ClaimStatus.GRANTED}
+        return (await owner.claim(entry("last"))).status
+
+    assert run_virtual(run()) is ClaimStatus.GRANTED
