Review: an instance that says it leaves goes on getting requests

Cause: reports of an incarnation are taken for stale when its start time is below that of the one before, as after a jump of the time of day; a leaving is then acknowledged and not obeyed.

--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -236,6 +236,7 @@
     instance: str
     headers: dict[str, str]
     ended: str = ""
+    ended_at: float | None = None
 
 
 class Instance:
@@ -320,6 +321,7 @@
             await asyncio.sleep(seconds)
             run.ended = "done"
         finally:
+            run.ended_at = self._record.now()
             if not run.ended:
                 run.ended = "dropped"
                 self._record.write(f"drop   {self.name} {request_id}")
