--- a/review/11/play.py
+++ b/review/11/play.py
@@ -31,7 +31,9 @@
 
     async def one(request_id: str) -> None:
         headers = {
-            "Request-Id": request_id, "Request-Deadline": "1500", "Authorization": f"Bearer {KEY}",
+            "Request-Id": request_id,
+            "Request-Deadline": "1500",
+            "Authorization": f"Bearer {KEY}",
         }
         sent[request_id] = world.record.now()
         world.record.write(f"sent   {machine.ip} {request_id} GET /sheet/1")
@@ -62,13 +64,22 @@
 
 async def play(folder: Path) -> bool:
     route = {
-        "name": "sheet-view", "prefix": "/sheet/", "kind": "idempotent", "timeout_s": 2,
-        "target_latency_s": 0.332, "attempts": 2, "service": "viewer",
+        "name": "sheet-view",
+        "prefix": "/sheet/",
+        "kind": "idempotent",
+        "timeout_s": 2,
+        "target_latency_s": 0.332,
+        "attempts": 2,
+        "service": "viewer",
     }
     tenant = {"name": "herbarium", "api_keys": [KEY], "rate_per_s": RATE, "burst": BURST}
     world = w.World(
-        folder, w.config([route], [tenant]), key_validity_s=5, quota_window_s=WINDOW_S,
-        quota_over=OVER, quota_slack=SLACK,
+        folder,
+        w.config([route], [tenant]),
+        key_validity_s=5,
+        quota_window_s=WINDOW_S,
+        quota_over=OVER,
+        quota_slack=SLACK,
     )
     try:
         await world.start()
@@ -101,7 +112,9 @@
             press(world, old[0], until, sent, numbers), press(world, watched, until, sent, numbers)
         )
         for machine in (old[0], watched):
-            events = [json.loads(line) for line in world.log_of(machine).splitlines() if "{" in line]
+            events = [
+                json.loads(line) for line in world.log_of(machine).splitlines() if "{" in line
+            ]
             for event in events:
                 if event.get("event") in ("quota holder changed", "entry not written", "link up"):
                     world.record.write(f"log    {machine.ip} {json.dumps(event)}")
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -88,8 +88,13 @@
 
 async def play(folder: Path) -> bool:
     route = {
-        "name": "catalogue-read", "prefix": "/flight/", "kind": "idempotent", "timeout_s": 1.5,
-        "target_latency_s": 0.4, "attempts": 2, "service": "catalogue",
+        "name": "catalogue-read",
+        "prefix": "/flight/",
+        "kind": "idempotent",
+        "timeout_s": 1.5,
+        "target_latency_s": 0.4,
+        "attempts": 2,
+        "service": "catalogue",
     }
     world = w.World(folder, w.config([route]))
     try:
@@ -118,7 +123,7 @@
             *(send(world, machine, "/flight/1", numbers) for machine in machines)
         )
         world.record.say(
-            f"crashes until all nodes refused the request: {before}; all crashes: {len(arrivals())};"
+            f"crashes until all nodes refused the request: {before}; all: {len(arrivals())};"
             f" retries that reached instances later than {TOUCH_S} s after the third crash:"
             f" {len(late)}; ordinary requests: {served}"
         )
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -19,7 +19,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -32,7 +32,7 @@
     """The record of a run: what was sent, answered and run."""
 
     def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")  # noqa: SIM115
         self._started_at = time.monotonic()
 
     def now(self) -> float:
@@ -156,7 +156,7 @@
     def stop(self) -> None:
         self._server.stop()
 
-    def put(self, rows: list[dict[str, str]], removed: list[dict[str, str]] = []) -> None:
+    def put(self, rows: list[dict[str, str]], removed: Sequence[dict[str, str]] = ()) -> None:
         self.ver += 1
         for row in rows:
             key = (row["table"], row.get("part", ""), row["key"])
@@ -165,7 +165,11 @@
             key = (row["table"], row.get("part", ""), row["key"])
             if key in self.rows:
                 self.rows[key] = {
-                    "table": key[0], "part": key[1], "key": key[2], "ver": self.ver, "removed": True,
+                    "table": key[0],
+                    "part": key[1],
+                    "key": key[2],
+                    "ver": self.ver,
+                    "removed": True,
                 }
         self._changed.set()
         self._changed = asyncio.Event()
@@ -282,7 +286,9 @@
             "address": f"{self._host}:{self._port}",
             "born": self.born,
             "node_info": {
-                "service": self.service, "version": "v1", "zone": "a",
+                "service": self.service,
+                "version": "v1",
+                "zone": "a",
                 "max_concurrent": self.slots,
             },
             "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0},
@@ -402,15 +408,6 @@
         assert self.process is not None
         os.kill(self.process.pid, number)
 
-    def memory_mb(self) -> float:
-        """Return the resident memory of the node's process."""
-        assert self.process is not None
-        try:
-            text = Path(f"/proc/{self.process.pid}/statm").read_text(encoding="ascii")
-            return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-        except (OSError, IndexError):
-            return 0.0
-
     async def ready(self) -> bool:
         with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
             async with asyncio.timeout(1.0):
@@ -452,7 +449,9 @@
         await self.store.start(f"{self._net}.250", free_ports(1)[0])
         self.store.put_config(self.config)
 
-    async def add(self, service: str, slots: int = 18, zone: str = "a", **settings: object) -> Machine:
+    async def add(
+        self, service: str, slots: int = 18, zone: str = "a", **settings: object
+    ) -> Machine:
         """Start a machine: its node and its instance."""
         number = len(self.machines) + 1
         instance = Instance(f"i-{service}-{number}", service, slots, self.record)
@@ -489,11 +488,13 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the program of the deploy file, as the platform does."""
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["PERIDOTTRACK_CONFIG"] = str(machine.settings_path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        log = open(f"{machine.settings_path}.log", "ab")
+        log = Path(f"{machine.settings_path}.log").open("ab")  # noqa: SIM115
         machine.process = subprocess.Popen(
             ["python3", "-m", "peridottrack", "mesh"],
             cwd=ROOT,
@@ -530,7 +531,9 @@
                 machine.process.wait()
             machine.instance.stop()
             if keep:
-                Path(keep, Path(f"{machine.settings_path}.log").name).write_text(self.log_of(machine))
+                Path(keep, Path(f"{machine.settings_path}.log").name).write_text(
+                    self.log_of(machine)
+                )
         self.store.stop()
         self._files.cleanup()
 
@@ -541,8 +544,16 @@
     """Return a configuration in the form of the users' store."""
     services = sorted({str(route["service"]) for route in routes})
     route_columns = [
-        "name", "host", "prefix", "kind", "timeout_s", "target_latency_s", "priority", "attempts",
-        "service", "allow_anonymous",
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout_s",
+        "target_latency_s",
+        "priority",
+        "attempts",
+        "service",
+        "allow_anonymous",
     ]
     data: dict[str, object] = {
         "version": 7,
@@ -558,14 +569,17 @@
             "rows": [[service, "/healthz", 240] for service in services],
         },
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 5,
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 5,
             "idle_timeout_s": 15,
         },
     }
     if tenants is not None:
         columns = ["name", "api_keys", "rate_per_s", "burst"]
         data["tenants"] = {
-            "columns": columns, "rows": [[tenant.get(name) for name in columns] for tenant in tenants],
+            "columns": columns,
+            "rows": [[tenant.get(name) for name in columns] for tenant in tenants],
         }
     return data
 
